Serve agent programs end to end, thin

hall authenticates, limits, orders and routes; limpet queues, bounds and records every call to its backend server; the configuration, the roster and the rate shares live in the key-value service. Stand-ins for the platform and a demonstration in one process drive the whole path over loopback.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Each target works on a machine with Go alone and installs what it needs.
+
+GO ?= go
+BIN := $(CURDIR)/bin
+MODULES := kernel hall limpet hallctl standin
+LINT_VERSION := v2.15.0
+LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
+
+.PHONY: build test unit lint format demo wire bench clean
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./hall/cmd/hall ./limpet/cmd/limpet ./hallctl/cmd/hallctl ./standin/cmd/standin
+
+test: build lint unit
+
+unit:
+	@_scripts/unit $(MODULES)
+
+lint: $(LINT)
+	@for module in $(MODULES); do \
+		echo "vet and lint $$module"; \
+		(cd $$module && $(GO) vet ./... && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; \
+	done
+
+format: $(LINT)
+	@for module in $(MODULES); do (cd $$module && $(LINT) fmt --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+$(LINT):
+	@mkdir -p $(BIN)
+	GOWORK=off GOBIN=$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(BIN)/golangci-lint $(LINT)
+
+demo: build
+	$(BIN)/standin demo --seconds 10
+
+# Only needed after a change of kernel/wire/wire.proto: the generated code is
+# committed. Needs protoc, protoc-gen-go and protoc-gen-twirp.
+wire:
+	protoc --go_out=. --go_opt=module=limpethall.dev --twirp_out=. --twirp_opt=module=limpethall.dev kernel/wire/wire.proto
+
+bench:
+	@for module in $(MODULES); do (cd $$module && $(GO) test -run '^$$' -bench . -benchmem ./...) || exit 1; done
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/hall/allowance/allowance.go
@@ -0,0 +1,201 @@
+// Package allowance admits requests within their workspace's rate and burst
+// over all halls together.
+//
+// Each hall spends its own share; one that runs short borrows from the others.
+// A request whose token falls due soon waits for it. See package limit for
+// why the sum can't exceed the row.
+//
+// # Usage
+//
+//	a := allowance.New(identity, follower, lenders, tenure, logger)
+//	if err := a.Admit(ctx, "kovacs-counter"); err != nil { refuse }
+package allowance
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"limpethall.dev/kernel/failure"
+	"limpethall.dev/kernel/limit"
+	"limpethall.dev/kernel/table"
+)
+
+const (
+	// maxWait is how long a request waits for its token.
+	maxWait = 500 * time.Millisecond
+	// retryWait is the pause before peers are asked again.
+	retryWait = 50 * time.Millisecond
+	// minHint is the least retry hint of a refusal.
+	minHint = 100 * time.Millisecond
+	// maxHint is the greatest retry hint of a refusal.
+	maxHint = 10 * time.Second
+)
+
+// Lenders asks other halls for tokens.
+type Lenders interface {
+	// Borrow returns loans of up to wanted tokens in total, with the time at
+	// which they were asked for.
+	Borrow(ctx context.Context, workspace string, wanted float64) (asked time.Time, loans []limit.Loan)
+}
+
+// Allowance holds the buckets of all workspaces at one hall.
+type Allowance struct {
+	lenders Lenders
+	now     func() time.Time
+	valid   func(now time.Time) bool
+
+	share atomic.Uint64 // Parts of limit.WholeParts.
+
+	mutex   sync.RWMutex
+	entries map[string]*entry
+}
+
+type entry struct {
+	bucket  *limit.Bucket
+	waiting atomic.Int64
+	asking  sync.Mutex
+}
+
+// New returns an allowance without workspaces and without a share. valid
+// reports whether this hall may still spend its share.
+func New(lenders Lenders, valid func(now time.Time) bool, now func() time.Time) *Allowance {
+	return &Allowance{lenders: lenders, valid: valid, now: now, entries: make(map[string]*entry)}
+}
+
+// Configure takes in the rows of a table.
+func (a *Allowance) Configure(accepted *table.Table) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := a.now()
+	next := make(map[string]*entry, len(a.entries))
+	for _, row := range accepted.Rows() {
+		known, found := a.entries[row.Workspace()]
+		if !found {
+			known = &entry{bucket: limit.NewBucket(now)}
+			known.bucket.SetShare(now, a.fraction())
+		}
+		known.bucket.Configure(now, row.Rate(), float64(row.Burst()))
+		next[row.Workspace()] = known
+	}
+	a.entries = next
+}
+
+// SetShare sets this hall's parts of limit.WholeParts for every row. fill says
+// that the shares were just created, so no token can have been spent.
+func (a *Allowance) SetShare(parts int64, fill bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.share.Store(uint64(parts))
+	now := a.now()
+	for _, known := range a.entries {
+		known.bucket.SetShare(now, a.fraction())
+		if fill {
+			known.bucket.Fill(now)
+		}
+	}
+}
+
+// Parts returns this hall's parts of limit.WholeParts.
+func (a *Allowance) Parts() int64 { return int64(a.share.Load()) }
+
+// Admit spends one token of the workspace, waiting for it up to a bound. The
+// error is a rateLimited failure with a hint when to come back.
+func (a *Allowance) Admit(ctx context.Context, workspace string) error {
+	known, found := a.find(workspace)
+	if !found {
+		return failure.New(failure.CodeForbidden, failure.NotRun, "workspace %q has no row in the table", workspace)
+	}
+	now := a.now()
+	if !a.valid(now) {
+		return failure.New(failure.CodeConfigurationOld, failure.NotRun, "this entry can't prove its share of the rate now: use another entry").WithRetryAfter(time.Second)
+	}
+	if known.bucket.Take(now) {
+		return nil
+	}
+	return a.admitLater(ctx, workspace, known, now.Add(maxWait))
+}
+
+// Lend gives tokens of a workspace to another hall.
+func (a *Allowance) Lend(workspace string, wanted float64) limit.Loan {
+	known, found := a.find(workspace)
+	now := a.now()
+	if !found || !a.valid(now) {
+		return limit.Loan{}
+	}
+	return known.bucket.Lend(now, wanted)
+}
+
+// Tokens returns what this hall could admit now for a workspace, and its part
+// of the rate.
+func (a *Allowance) Tokens(workspace string) (tokens, rate float64) {
+	known, found := a.find(workspace)
+	if !found {
+		return 0, 0
+	}
+	return known.bucket.Tokens(a.now()), known.bucket.Rate()
+}
+
+func (a *Allowance) admitLater(ctx context.Context, workspace string, known *entry, deadline time.Time) error {
+	known.waiting.Add(1)
+	defer known.waiting.Add(-1)
+	for {
+		a.borrow(ctx, workspace, known)
+		now := a.now()
+		if !a.valid(now) {
+			return failure.New(failure.CodeConfigurationOld, failure.NotRun, "this entry can't prove its share of the rate now: use another entry")
+		}
+		if known.bucket.Take(now) {
+			return nil
+		}
+		wait := min(known.bucket.Wait(now), retryWait)
+		if now.Add(wait).After(deadline) {
+			return refusal(workspace, known, now)
+		}
+		if err := sleep(ctx, wait); err != nil {
+			return failure.New(failure.CodeCanceled, failure.NotRun, "the caller has gone")
+		}
+	}
+}
+
+// borrow asks the lenders unless another request of the workspace just did.
+func (a *Allowance) borrow(ctx context.Context, workspace string, known *entry) {
+	known.asking.Lock()
+	defer known.asking.Unlock()
+	wanted := known.bucket.Wanted(a.now(), int(known.waiting.Load()))
+	if wanted <= 0 {
+		return
+	}
+	asked, loans := a.lenders.Borrow(ctx, workspace, wanted)
+	for _, loan := range loans {
+		known.bucket.Accept(asked, a.now(), loan)
+	}
+}
+
+func (a *Allowance) find(workspace string) (*entry, bool) {
+	a.mutex.RLock()
+	defer a.mutex.RUnlock()
+	known, found := a.entries[workspace]
+	return known, found
+}
+
+func (a *Allowance) fraction() float64 {
+	return float64(a.share.Load()) / limit.WholeParts
+}
+
+func refusal(workspace string, known *entry, now time.Time) error {
+	hint := min(max(known.bucket.Wait(now), minHint), maxHint)
+	return failure.New(failure.CodeRateLimited, failure.NotRun, "workspace %q is over its rate and burst", workspace).WithRetryAfter(hint)
+}
+
+func sleep(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/hall/peers/peers.go
@@ -0,0 +1,146 @@
+// Package peers serves a hall to other halls and to operators.
+//
+// # Usage
+//
+//	server := peers.New(parts)
+//	server.Mount(listener, book)
+package peers
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethall.dev/hall/allowance"
+	"limpethall.dev/hall/fleet"
+	"limpethall.dev/hall/home"
+	"limpethall.dev/hall/neighbor"
+	"limpethall.dev/kernel/configuration"
+	"limpethall.dev/kernel/failure"
+	"limpethall.dev/kernel/listener"
+	"limpethall.dev/kernel/peer"
+	"limpethall.dev/kernel/program"
+	"limpethall.dev/kernel/secret"
+	"limpethall.dev/kernel/wire"
+)
+
+const millitokens = 1000
+
+// Parts are what the server answers from.
+type Parts struct {
+	Follower  *configuration.Follower
+	Neighbors *neighbor.Neighbors
+	Allowance *allowance.Allowance
+	Fleet     *fleet.Fleet
+	Home      *home.Home
+	Archive   *program.Archive
+	Active    func() int64
+	Logger    *zap.Logger
+	Now       func() time.Time
+}
+
+// Server is the unary and streamed interface of a hall.
+type Server struct {
+	Parts
+}
+
+// New returns a server.
+func New(parts Parts) *Server {
+	return &Server{Parts: parts}
+}
+
+// Mount adds the routes to a listener.
+func (s *Server) Mount(l *listener.Listener, book *secret.Book) {
+	guard := peer.Guard(book, s.Logger)
+	peer.MountTwirp(l, guard, wire.NewHallServer(s))
+	peer.MountStream(l, guard, peer.TurnPath, s.serveTurn)
+}
+
+// serveTurn runs a call of a program that lives here.
+func (s *Server) serveTurn(ctx context.Context, turn *wire.TurnRequest, sender *peer.Sender) {
+	send := func(frame *wire.Frame) error {
+		frame.CallId = turn.GetRequestId()
+		return sender.Send(frame)
+	}
+	if err := s.Home.Run(ctx, turn, send); err != nil {
+		_ = send(&wire.Frame{Body: &wire.Frame_Failure{Failure: failure.From(err).ToWire()}})
+	}
+}
+
+// Exchange implements the Hall service.
+func (s *Server) Exchange(_ context.Context, status *wire.HallStatus) (*wire.HallStatus, error) {
+	return s.Neighbors.Receive(status), nil
+}
+
+// FetchConfiguration implements the Hall service.
+func (s *Server) FetchConfiguration(_ context.Context, request *wire.FetchConfigurationRequest) (*wire.FetchConfigurationReply, error) {
+	accepted := s.Follower.Table()
+	reply := &wire.FetchConfigurationReply{Revision: accepted.Revision()}
+	if accepted.Revision() <= request.GetHaveRevision() {
+		return reply, nil
+	}
+	snapshot, err := accepted.Snapshot()
+	reply.Snapshot = snapshot
+	return reply, err
+}
+
+// Lend implements the Hall service.
+func (s *Server) Lend(_ context.Context, request *wire.LendRequest) (*wire.LendReply, error) {
+	loan := s.Allowance.Lend(request.GetWorkspace(), float64(request.GetMillitokens())/millitokens)
+	return &wire.LendReply{Millitokens: int64(loan.Amount() * millitokens), ValidMilliseconds: loan.Length().Milliseconds()}, nil
+}
+
+// StoreRecord implements the Hall service.
+func (s *Server) StoreRecord(_ context.Context, request *wire.StoreRecordRequest) (*wire.StoreRecordReply, error) {
+	return &wire.StoreRecordReply{Result: s.Archive.Store(request.GetRecord(), request.GetPreviousDigest(), s.Now())}, nil
+}
+
+// FetchRecord implements the Hall service.
+func (s *Server) FetchRecord(_ context.Context, request *wire.FetchRecordRequest) (*wire.FetchRecordReply, error) {
+	return &wire.FetchRecordReply{Record: s.Home.FetchRecord(request.GetProgramId())}, nil
+}
+
+// ReturnBudget implements the Hall service.
+func (s *Server) ReturnBudget(ctx context.Context, request *wire.ReturnBudgetRequest) (*wire.Empty, error) {
+	if err := s.Home.ReturnBudget(ctx, request); err != nil {
+		return nil, failure.ToTwirp(err)
+	}
+	return &wire.Empty{}, nil
+}
+
+// OpenChild implements the Hall service.
+func (s *Server) OpenChild(ctx context.Context, request *wire.ProgramRequest) (*wire.ProgramState, error) {
+	return answer(s.Home.OpenChild(ctx, request))
+}
+
+// EndProgram implements the Hall service.
+func (s *Server) EndProgram(ctx context.Context, request *wire.ProgramRequest) (*wire.ProgramState, error) {
+	return answer(s.Home.End(ctx, request))
+}
+
+// DescribeProgram implements the Hall service.
+func (s *Server) DescribeProgram(ctx context.Context, request *wire.ProgramRequest) (*wire.ProgramState, error) {
+	return answer(s.Home.Describe(ctx, request))
+}
+
+// Describe implements the Hall service.
+func (s *Server) Describe(context.Context, *wire.Empty) (*wire.HallDescription, error) {
+	now := s.Now()
+	description := &wire.HallDescription{
+		Status: s.Neighbors.Status(now), Programs: int64(s.Home.Len()), ActiveCalls: s.Active(),
+		ShareParts: s.Allowance.Parts(), Limpets: s.Fleet.Statuses(), Halls: s.Neighbors.Statuses(now),
+	}
+	for _, row := range s.Follower.Table().Rows() {
+		tokens, rate := s.Allowance.Tokens(row.Workspace())
+		description.Shares = append(description.Shares, &wire.ShareStatus{Workspace: row.Workspace(), Rate: rate, Tokens: tokens})
+	}
+	return description, nil
+}
+
+func answer(state *wire.ProgramState, err error) (*wire.ProgramState, error) {
+	if err != nil {
+		return nil, failure.ToTwirp(err)
+	}
+	return state, nil
+}
--- /dev/null
+++ b/kernel/host/roster.go
@@ -0,0 +1,237 @@
+// Package host keeps the roster: which halls and limpets are alive, where they
+// listen, and in which incarnation.
+//
+// Each process registers itself under a lease. A Watcher holds the newest
+// roster and a bounded number of earlier ones by revision, because a ticket
+// names the roster by which a non-idempotent call was placed. In an outage of
+// the key-value service the last known roster stays in force.
+//
+// # Usage
+//
+//	registrar, err := host.NewMemberRegistrar(store, member, leaseLength, logger)
+//	group.Go("registration", registrar.Keep)
+//	watcher := host.NewWatcher(store, logger)
+//	group.Go("roster", watcher.Follow)
+//	halls := watcher.Roster().Halls()
+package host
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind tells what a member is.
+type Kind string
+
+// The kinds of members.
+const (
+	KindHall   Kind = "hall"
+	KindLimpet Kind = "limpet"
+)
+
+// Member is one process on the roster.
+type Member struct {
+	kind        Kind
+	name        string
+	zone        string
+	address     string
+	incarnation uint64
+	models      []string
+	service     string
+}
+
+// NewHall returns a member for a hall; address is where peers reach it.
+func NewHall(name, zone, address string, incarnation uint64) Member {
+	return Member{kind: KindHall, name: name, zone: zone, address: address, incarnation: incarnation}
+}
+
+// NewLimpet returns a member for a limpet before a model engine (models) or a
+// plain service (service).
+func NewLimpet(name, zone, address string, incarnation uint64, models []string, service string) Member {
+	return Member{kind: KindLimpet, name: name, zone: zone, address: address, incarnation: incarnation, models: models, service: service}
+}
+
+// Kind returns what the member is.
+func (m Member) Kind() Kind { return m.kind }
+
+// Name returns the member's name, unique for its kind.
+func (m Member) Name() string { return m.name }
+
+// Zone returns the availability zone.
+func (m Member) Zone() string { return m.zone }
+
+// Address returns host and port for peers.
+func (m Member) Address() string { return m.address }
+
+// Incarnation returns a number that is higher for each start of the process.
+func (m Member) Incarnation() uint64 { return m.incarnation }
+
+// Models returns the models that the backend server holds.
+func (m Member) Models() []string { return m.models }
+
+// Service returns the plain service that the backend server runs, if any.
+func (m Member) Service() string { return m.service }
+
+// key returns where the member is registered.
+func (m Member) key() string {
+	return prefix + string(m.kind) + "/" + m.name
+}
+
+type memberDocument struct {
+	Kind        Kind     `json:"kind"`
+	Name        string   `json:"name"`
+	Zone        string   `json:"zone"`
+	Address     string   `json:"address"`
+	Incarnation uint64   `json:"incarnation"`
+	Models      []string `json:"models,omitempty"`
+	Service     string   `json:"service,omitempty"`
+}
+
+// MarshalJSON writes the member in its stored form.
+func (m Member) MarshalJSON() ([]byte, error) {
+	return json.Marshal(memberDocument{
+		Kind: m.kind, Name: m.name, Zone: m.zone, Address: m.address,
+		Incarnation: m.incarnation, Models: m.models, Service: m.service,
+	})
+}
+
+// UnmarshalJSON reads the member from its stored form.
+func (m *Member) UnmarshalJSON(text []byte) error {
+	var document memberDocument
+	if err := json.Unmarshal(text, &document); err != nil {
+		return err
+	}
+	*m = Member{
+		kind: document.Kind, name: document.Name, zone: document.Zone, address: document.Address,
+		incarnation: document.Incarnation, models: document.Models, service: document.Service,
+	}
+	return nil
+}
+
+// Roster is the set of members at one store revision. It is immutable.
+type Roster struct {
+	revision  uint64
+	halls     []Member
+	limpets   []Member
+	placement uint64
+}
+
+// NewRoster returns a roster of the members in order of name.
+func NewRoster(revision uint64, members []Member) *Roster {
+	roster := &Roster{revision: revision}
+	for _, member := range members {
+		switch member.kind {
+		case KindHall:
+			roster.halls = append(roster.halls, member)
+		case KindLimpet:
+			roster.limpets = append(roster.limpets, member)
+		}
+	}
+	byName := func(a, b Member) int { return strings.Compare(a.name, b.name) }
+	slices.SortFunc(roster.halls, byName)
+	slices.SortFunc(roster.limpets, byName)
+	roster.placement = placementOf(roster.limpets)
+	return roster
+}
+
+// Revision returns the store revision at which the roster was read. Two
+// processes may know the same members under different revisions.
+func (r *Roster) Revision() uint64 { return r.revision }
+
+// Placement returns a digest of the limpets before plain services with their
+// incarnations. Processes that know the same ones compute the same digest,
+// whatever the revision at which they read them, so a ticket can name the
+// roster by which non-idempotent calls are placed.
+func (r *Roster) Placement() uint64 { return r.placement }
+
+// Halls returns the halls in order of name.
+func (r *Roster) Halls() []Member { return r.halls }
+
+// Limpets returns the limpets in order of name.
+func (r *Roster) Limpets() []Member { return r.limpets }
+
+// Members returns everyone.
+func (r *Roster) Members() []Member {
+	return append(slices.Clone(r.halls), r.limpets...)
+}
+
+// Hall returns the hall of that name.
+func (r *Roster) Hall(name string) (Member, bool) { return find(r.halls, name) }
+
+// Limpet returns the limpet of that name.
+func (r *Roster) Limpet(name string) (Member, bool) { return find(r.limpets, name) }
+
+// ServiceLimpets returns the limpets before a plain service.
+func (r *Roster) ServiceLimpets(service string) []Member {
+	var found []Member
+	for _, member := range r.limpets {
+		if member.service == service {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
+// ModelLimpets returns the limpets whose engine holds the model.
+func (r *Roster) ModelLimpets(model string) []Member {
+	var found []Member
+	for _, member := range r.limpets {
+		if slices.Contains(member.models, model) {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
+func placementOf(limpets []Member) uint64 {
+	digest := xxhash.New()
+	for _, member := range limpets {
+		if member.service != "" {
+			_, _ = fmt.Fprintf(digest, "%s\x00%s\x00%d\x00", member.service, member.name, member.incarnation)
+		}
+	}
+	return digest.Sum64()
+}
+
+func find(members []Member, name string) (Member, bool) {
+	index, found := slices.BinarySearchFunc(members, name, func(m Member, name string) int {
+		return strings.Compare(m.name, name)
+	})
+	if !found {
+		return Member{}, false
+	}
+	return members[index], true
+}
+
+// Rank orders members by rendezvous hashing of the key: every process that
+// has the same members gets the same order, and a member that comes or goes
+// moves only its own keys.
+func Rank(key string, members []Member) []Member {
+	type scored struct {
+		member Member
+		score  uint64
+	}
+	scores := make([]scored, 0, len(members))
+	for _, member := range members {
+		scores = append(scores, scored{member: member, score: xxhash.Sum64String(member.name + "\x00" + key)})
+	}
+	slices.SortFunc(scores, func(a, b scored) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		default:
+			return strings.Compare(a.member.name, b.member.name)
+		}
+	})
+	ranked := make([]Member, 0, len(scores))
+	for _, entry := range scores {
+		ranked = append(ranked, entry.member)
+	}
+	return ranked
+}
--- /dev/null
+++ b/kernel/host/watcher.go
@@ -0,0 +1,217 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethall.dev/kernel/platform"
+)
+
+const (
+	// keptRosters is how many earlier rosters a watcher can still name.
+	keptRosters = 256
+	// watchPause is the wait after a failed read of the store.
+	watchPause = 300 * time.Millisecond
+	// returnGrace is how long removals are put off after an outage of the
+	// store, in which leases may have lapsed of processes that are alive.
+	returnGrace = 4 * time.Second
+	// outageLength is the silence of the store that counts as an outage.
+	outageLength = 3 * time.Second
+)
+
+// Watcher holds the newest roster and some earlier ones.
+type Watcher struct {
+	store   platform.Store
+	logger  *zap.Logger
+	current atomic.Pointer[Roster]
+	contact atomic.Int64
+
+	mutex       sync.Mutex
+	earlier     []*Roster
+	members     map[string]Member
+	subscribers []func(*Roster)
+}
+
+// NewWatcher returns a watcher that holds an empty roster.
+func NewWatcher(store platform.Store, logger *zap.Logger) *Watcher {
+	watcher := &Watcher{store: store, logger: logger, members: make(map[string]Member)}
+	watcher.current.Store(NewRoster(0, nil))
+	return watcher
+}
+
+// Roster returns the newest roster.
+func (w *Watcher) Roster() *Roster { return w.current.Load() }
+
+// LastContact returns when the store last answered, the zero time for never.
+func (w *Watcher) LastContact() time.Time {
+	at := w.contact.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
+// Subscribe calls notify with every roster from now on. notify must not block.
+func (w *Watcher) Subscribe(notify func(*Roster)) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.subscribers = append(w.subscribers, notify)
+}
+
+// ByPlacement returns the newest kept roster with that placement digest.
+func (w *Watcher) ByPlacement(digest uint64) (*Roster, bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for index := len(w.earlier) - 1; index >= 0; index-- {
+		if w.earlier[index].placement == digest {
+			return w.earlier[index], true
+		}
+	}
+	return nil, false
+}
+
+// Placements returns the kept rosters that differ in placement and have a
+// limpet before the service, newest first.
+func (w *Watcher) Placements(service string) []*Roster {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var distinct []*Roster
+	seen := make(map[uint64]bool)
+	for index := len(w.earlier) - 1; index >= 0; index-- {
+		roster := w.earlier[index]
+		if seen[roster.placement] || len(roster.ServiceLimpets(service)) == 0 {
+			continue
+		}
+		seen[roster.placement] = true
+		distinct = append(distinct, roster)
+	}
+	return distinct
+}
+
+// Follow reads the roster until the context ends.
+func (w *Watcher) Follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		revision, err := w.refresh(ctx)
+		if err == nil {
+			err = w.watch(ctx, revision)
+		}
+		if err != nil && ctx.Err() == nil {
+			w.logger.Warn("roster not read, the last one stays in force", zap.Error(err))
+			wait(ctx, watchPause)
+		}
+	}
+	return nil
+}
+
+// refresh lists the members. After an outage it waits before it believes that
+// members are gone.
+func (w *Watcher) refresh(ctx context.Context) (uint64, error) {
+	listing, err := w.store.List(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	last := w.LastContact()
+	afterOutage := !last.IsZero() && time.Since(last) > outageLength
+	if afterOutage {
+		w.logger.Info("store is back, removals wait", zap.Duration("grace", returnGrace))
+		w.merge(listing)
+		wait(ctx, returnGrace)
+		if listing, err = w.store.List(ctx, prefix); err != nil {
+			return 0, err
+		}
+	}
+	w.touch()
+	w.replace(listing)
+	return listing.Revision, nil
+}
+
+func (w *Watcher) watch(ctx context.Context, revision uint64) error {
+	for ctx.Err() == nil {
+		changes, err := w.store.Watch(ctx, prefix, revision)
+		var gap *platform.GapError
+		if errors.As(err, &gap) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		w.touch()
+		w.apply(changes)
+		revision = changes.Revision
+	}
+	return nil
+}
+
+func (w *Watcher) replace(listing platform.Listing) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.members = make(map[string]Member)
+	w.add(listing)
+}
+
+func (w *Watcher) merge(listing platform.Listing) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.add(listing)
+}
+
+func (w *Watcher) add(listing platform.Listing) {
+	newest := uint64(0)
+	for _, entry := range listing.Entries {
+		w.put(entry)
+		newest = max(newest, entry.Version)
+	}
+	w.publish(max(newest, listing.Revision))
+}
+
+func (w *Watcher) apply(changes platform.Changes) {
+	if len(changes.Events) == 0 {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	newest := uint64(0)
+	for _, event := range changes.Events {
+		newest = max(newest, event.Entry.Version)
+		if event.Deleted {
+			delete(w.members, event.Entry.Key)
+			continue
+		}
+		w.put(event.Entry)
+	}
+	w.publish(newest)
+}
+
+func (w *Watcher) put(entry platform.Entry) {
+	var member Member
+	if err := json.Unmarshal(entry.Value, &member); err != nil {
+		w.logger.Warn("roster entry not understood", zap.String("key", entry.Key), zap.Error(err))
+		return
+	}
+	w.members[entry.Key] = member
+}
+
+// publish makes the roster of the present members; the mutex is held.
+func (w *Watcher) publish(revision uint64) {
+	members := make([]Member, 0, len(w.members))
+	for _, member := range w.members {
+		members = append(members, member)
+	}
+	roster := NewRoster(revision, members)
+	w.current.Store(roster)
+	w.earlier = append(w.earlier, roster)
+	if len(w.earlier) > keptRosters {
+		w.earlier = w.earlier[1:]
+	}
+	for _, notify := range w.subscribers {
+		notify(roster)
+	}
+}
+
+func (w *Watcher) touch() { w.contact.Store(time.Now().UnixNano()) }
--- /dev/null
+++ b/kernel/limit/bucket.go
@@ -0,0 +1,231 @@
+// Package limit keeps each workspace within its rate and burst over all halls
+// together, without asking anybody on the way of a request.
+//
+// The row of a workspace is split over the halls by shares that never sum to
+// more than the whole (see Shares). Each hall refills a Bucket at its share of
+// the rate, up to its share of the burst. A hall that runs short borrows
+// tokens. The lender subtracts them before it answers and keeps that much of
+// its own capacity closed until the loan has expired at the borrower, so the
+// tokens that all halls could spend at one instant never exceed the burst: a
+// lost message loses tokens and never makes any.
+//
+// # Usage
+//
+//	bucket := limit.NewBucket(now)
+//	bucket.Configure(now, row.Rate(), float64(row.Burst()))
+//	bucket.SetShare(now, 0.25)
+//	if !bucket.Take(now) {
+//		loan := lender.Lend(now, bucket.Wanted(now))
+//		bucket.Accept(sent, loan)
+//	}
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+// LoanLength is how long borrowed tokens may be spent, counted by the
+// borrower from when it asked and by the lender from when it gave.
+const LoanLength = 400 * time.Millisecond
+
+// maxLoans bounds the open loans of one bucket; further ones are refused.
+const maxLoans = 64
+
+// Loan is an amount of tokens with the time left to spend them.
+type Loan struct {
+	amount float64
+	length time.Duration
+}
+
+// NewLoan returns a loan.
+func NewLoan(amount float64, length time.Duration) Loan {
+	return Loan{amount: amount, length: length}
+}
+
+// Amount returns the tokens.
+func (l Loan) Amount() float64 { return l.amount }
+
+// Length returns how long after asking the tokens may be spent.
+func (l Loan) Length() time.Duration { return l.length }
+
+type timedLoan struct {
+	amount float64
+	until  time.Time
+}
+
+// Bucket holds one hall's tokens of one workspace. Times must come from a
+// monotonic clock.
+type Bucket struct {
+	mutex    sync.Mutex
+	rate     float64
+	burst    float64
+	share    float64
+	tokens   float64
+	updated  time.Time
+	lent     []timedLoan
+	borrowed []timedLoan
+}
+
+// NewBucket returns an empty bucket without a share. It begins to refill once
+// every loan that an earlier incarnation of this hall may have given has
+// expired.
+func NewBucket(now time.Time) *Bucket {
+	return &Bucket{updated: now.Add(LoanLength)}
+}
+
+// Configure sets the row's rate in tokens per second and its burst.
+func (b *Bucket) Configure(now time.Time, rate, burst float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	b.rate = rate
+	b.burst = burst
+	b.clip()
+}
+
+// SetShare sets the part of the row, from zero to one, that this hall has.
+func (b *Bucket) SetShare(now time.Time, share float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	b.share = share
+	b.clip()
+}
+
+// Fill sets the tokens to the capacity. It is only allowed where no hall can
+// have spent any, that is, when the shares are first created.
+func (b *Bucket) Fill(now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.updated = now
+	b.tokens = b.capacity()
+}
+
+// Take spends one token and reports whether there was one.
+func (b *Bucket) Take(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	if b.tokens+sum(b.borrowed) < 1 {
+		return false
+	}
+	missing := 1.0
+	for len(b.borrowed) > 0 && missing > 0 {
+		part := min(missing, b.borrowed[0].amount)
+		b.borrowed[0].amount -= part
+		missing -= part
+		if b.borrowed[0].amount > 0 {
+			break
+		}
+		b.borrowed = b.borrowed[1:]
+	}
+	b.tokens = max(0, b.tokens-missing)
+	return true
+}
+
+// Wait returns how long until own refill alone holds a whole token.
+func (b *Bucket) Wait(now time.Time) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	missing := 1 - b.tokens
+	if missing <= 0 {
+		return 0
+	}
+	refill := b.rate * b.share
+	if refill <= 0 || b.capacity() < 1 {
+		return time.Duration(1<<63 - 1)
+	}
+	return time.Duration(missing / refill * float64(time.Second))
+}
+
+// Wanted returns how many tokens to borrow for n requests that wait and for
+// those to be expected during a loan at the row's rate.
+func (b *Bucket) Wanted(now time.Time, n int) float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	ahead := b.rate * (1 - b.share) * LoanLength.Seconds() / 2
+	return float64(n) + ahead - b.tokens - sum(b.borrowed)
+}
+
+// Lend subtracts up to the wanted tokens and returns them as a loan, possibly
+// an empty one.
+func (b *Bucket) Lend(now time.Time, wanted float64) Loan {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	amount := min(wanted, b.tokens)
+	if amount <= 0 || len(b.lent) >= maxLoans {
+		return Loan{}
+	}
+	b.tokens -= amount
+	b.lent = append(b.lent, timedLoan{amount: amount, until: now.Add(LoanLength)})
+	return Loan{amount: amount, length: LoanLength}
+}
+
+// Accept adds a loan that was asked for at the time sent.
+func (b *Bucket) Accept(sent, now time.Time, loan Loan) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	until := sent.Add(loan.length)
+	if loan.amount <= 0 || !now.Before(until) {
+		return
+	}
+	b.borrowed = append(b.borrowed, timedLoan{amount: loan.amount, until: until})
+}
+
+// Tokens returns what could be spent now.
+func (b *Bucket) Tokens(now time.Time) float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	return b.tokens + sum(b.borrowed)
+}
+
+// Rate returns this hall's part of the rate in tokens per second.
+func (b *Bucket) Rate() float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.rate * b.share
+}
+
+// refill adds what came due since the last call. Time during which capacity
+// is lent out is accounted for step by step, so that a loan which expires in
+// the middle does not let the bucket fill in retrospect.
+func (b *Bucket) refill(now time.Time) {
+	for len(b.lent) > 0 && !b.lent[0].until.After(now) {
+		b.advance(b.lent[0].until)
+		b.lent = b.lent[1:]
+	}
+	b.advance(now)
+	for len(b.borrowed) > 0 && !now.Before(b.borrowed[0].until) {
+		b.borrowed = b.borrowed[1:]
+	}
+}
+
+func (b *Bucket) advance(to time.Time) {
+	if to.After(b.updated) {
+		b.tokens += b.rate * b.share * to.Sub(b.updated).Seconds()
+		b.updated = to
+	}
+	b.clip()
+}
+
+func (b *Bucket) capacity() float64 {
+	return max(0, b.burst*b.share-sum(b.lent))
+}
+
+func (b *Bucket) clip() {
+	b.tokens = min(b.tokens, b.capacity())
+}
+
+func sum(loans []timedLoan) float64 {
+	total := 0.0
+	for _, loan := range loans {
+		total += loan.amount
+	}
+	return total
+}
--- /dev/null
+++ b/kernel/listener/probe.go
@@ -0,0 +1,36 @@
+package listener
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+)
+
+// Probes are the routes that every process offers to the platform.
+type Probes struct {
+	ready   func() error
+	metrics http.Handler
+}
+
+// NewProbes returns probes; ready returns why the process should get no
+// requests, or nil.
+func NewProbes(ready func() error, metrics http.Handler) Probes {
+	return Probes{ready: ready, metrics: metrics}
+}
+
+// Mount adds /healthz, /readyz and /metrics.
+func (p Probes) Mount(l *Listener) {
+	l.Router().GET("/healthz", func(_ context.Context, c *app.RequestContext) {
+		c.String(http.StatusOK, "ok\n")
+	})
+	l.Router().GET("/readyz", func(_ context.Context, c *app.RequestContext) {
+		if err := p.ready(); err != nil {
+			c.String(http.StatusServiceUnavailable, "%s\n", err.Error())
+			return
+		}
+		c.String(http.StatusOK, "ready\n")
+	})
+	l.Router().GET("/metrics", adaptor.HertzHandler(p.metrics))
+}
--- /dev/null
+++ b/kernel/platform/httpjson/hostlist.go
@@ -0,0 +1,45 @@
+package httpjson
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"limpethall.dev/kernel/platform"
+)
+
+func init() {
+	platform.HostLists.Register("httpjson", func(address string) (platform.HostList, error) {
+		return NewHostList(address), nil
+	})
+}
+
+// HostList reads GET /v1/hosts, a JSON list of hosts.
+type HostList struct {
+	url    string
+	client *http.Client
+}
+
+// NewHostList returns a client for host and port.
+func NewHostList(address string) *HostList {
+	return &HostList{url: "http://" + address + "/v1/hosts", client: &http.Client{}}
+}
+
+// Hosts implements platform.HostList.
+func (h *HostList) Hosts(ctx context.Context) ([]platform.Host, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("host list answered with status %d", response.StatusCode)
+	}
+	var hosts []platform.Host
+	return hosts, json.NewDecoder(response.Body).Decode(&hosts)
+}
--- /dev/null
+++ b/kernel/platform/httpjson/store.go
@@ -0,0 +1,235 @@
+// Package httpjson is the Store plug-in for a key-value service that speaks
+// JSON over HTTP.
+//
+// The protocol: GET /v1/keys/KEY; GET /v1/keys?prefix=P; PUT /v1/keys/KEY with
+// value, version and lease; DELETE /v1/keys/KEY?version=N; POST /v1/leases,
+// POST /v1/leases/ID/keepalive, DELETE /v1/leases/ID; GET
+// /v1/watch?prefix=P&after=N. A missing key is 404, a lost race 409, an ended
+// lease 410, a watch position no longer kept 416.
+//
+// # Usage
+//
+//	import _ "limpethall.dev/kernel/platform/httpjson"
+//	construct, err := platform.Stores.Find("httpjson")
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"limpethall.dev/kernel/platform"
+)
+
+// watchWait is how long the service holds a watch without changes.
+const watchWait = 2 * time.Second
+
+// watchSlack is the time beyond watchWait after which a watch is given up.
+const watchSlack = 2 * time.Second
+
+// The documents of the protocol, shared with the stand-in that serves it.
+type (
+	// EntryDocument is one key.
+	EntryDocument struct {
+		Key     string `json:"key"`
+		Value   []byte `json:"value,omitempty"`
+		Version uint64 `json:"version"`
+		Deleted bool   `json:"deleted,omitempty"`
+	}
+	// ListDocument is the answer to a list and to a watch.
+	ListDocument struct {
+		Entries  []EntryDocument `json:"entries"`
+		Revision uint64          `json:"revision"`
+	}
+	// PutDocument is the body of a write.
+	PutDocument struct {
+		Value   []byte `json:"value"`
+		Version uint64 `json:"version"`
+		Lease   uint64 `json:"lease,omitempty"`
+	}
+	// LeaseDocument grants a lease and answers with its identifier.
+	LeaseDocument struct {
+		ID           uint64 `json:"id,omitempty"`
+		Milliseconds int64  `json:"milliseconds"`
+	}
+)
+
+func init() {
+	platform.Stores.Register("httpjson", func(options platform.StoreOptions) (platform.Store, error) {
+		return New(options)
+	})
+}
+
+// Store is a client of the service.
+type Store struct {
+	base    string
+	timeout time.Duration
+	client  *http.Client
+}
+
+// New returns a client of the first address. Timeout bounds every call but a
+// watch.
+func New(options platform.StoreOptions) (*Store, error) {
+	if len(options.Addresses) == 0 {
+		return nil, errors.New("the key-value service needs an address")
+	}
+	timeout := options.Timeout
+	if timeout <= 0 {
+		timeout = time.Second
+	}
+	return &Store{base: "http://" + options.Addresses[0], timeout: timeout, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}, nil
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+	var entry EntryDocument
+	if err := s.call(ctx, request{method: http.MethodGet, path: keyPath(key), key: key}, &entry); err != nil {
+		return platform.Entry{}, err
+	}
+	return entry.entry(), nil
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	var list ListDocument
+	path := "/v1/keys?prefix=" + url.QueryEscape(prefix)
+	if err := s.call(ctx, request{method: http.MethodGet, path: path}, &list); err != nil {
+		return platform.Listing{}, err
+	}
+	listing := platform.Listing{Revision: list.Revision}
+	for _, entry := range list.Entries {
+		listing.Entries = append(listing.Entries, entry.entry())
+	}
+	return listing, nil
+}
+
+// CompareAndSwap implements platform.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (platform.Entry, error) {
+	var entry EntryDocument
+	body := PutDocument{Value: value, Version: expected, Lease: uint64(lease)}
+	err := s.call(ctx, request{method: http.MethodPut, path: keyPath(key), key: key, expected: expected, lease: lease, body: body, write: true}, &entry)
+	return entry.entry(), err
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected uint64) error {
+	path := keyPath(key) + "?version=" + strconv.FormatUint(expected, 10)
+	return s.call(ctx, request{method: http.MethodDelete, path: path, key: key, expected: expected, write: true}, nil)
+}
+
+// Grant implements platform.Store.
+func (s *Store) Grant(ctx context.Context, length time.Duration) (platform.LeaseID, error) {
+	var lease LeaseDocument
+	body := LeaseDocument{Milliseconds: length.Milliseconds()}
+	err := s.call(ctx, request{method: http.MethodPost, path: "/v1/leases", body: body, write: true}, &lease)
+	return platform.LeaseID(lease.ID), err
+}
+
+// KeepAlive implements platform.Store.
+func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+	path := fmt.Sprintf("/v1/leases/%d/keepalive", lease)
+	return s.call(ctx, request{method: http.MethodPost, path: path, lease: lease, write: true}, nil)
+}
+
+// Revoke implements platform.Store.
+func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
+	path := fmt.Sprintf("/v1/leases/%d", lease)
+	return s.call(ctx, request{method: http.MethodDelete, path: path, lease: lease, write: true}, nil)
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (platform.Changes, error) {
+	var list ListDocument
+	path := fmt.Sprintf("/v1/watch?prefix=%s&after=%d&milliseconds=%d", url.QueryEscape(prefix), after, watchWait.Milliseconds())
+	err := s.call(ctx, request{method: http.MethodGet, path: path, expected: after, timeout: watchWait + watchSlack}, &list)
+	if err != nil {
+		return platform.Changes{}, err
+	}
+	changes := platform.Changes{Revision: list.Revision}
+	for _, entry := range list.Entries {
+		changes.Events = append(changes.Events, platform.Event{Entry: entry.entry(), Deleted: entry.Deleted})
+	}
+	return changes, nil
+}
+
+type request struct {
+	method   string
+	path     string
+	key      string
+	expected uint64
+	lease    platform.LeaseID
+	body     any
+	write    bool
+	timeout  time.Duration
+}
+
+func (s *Store) call(ctx context.Context, r request, answer any) error {
+	timeout := s.timeout
+	if r.timeout > 0 {
+		timeout = r.timeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var body io.Reader
+	if r.body != nil {
+		text, err := json.Marshal(r.body)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(text)
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, r.method, s.base+r.path, body)
+	if err != nil {
+		return err
+	}
+	outgoing.GetBody = nil // A write must not be sent again behind our back.
+	response, err := s.client.Do(outgoing)
+	if err != nil {
+		return platform.NewUnavailableError(r.method+" "+r.path, r.write, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return r.read(response, answer)
+}
+
+func (r request) read(response *http.Response, answer any) error {
+	switch response.StatusCode {
+	case http.StatusOK:
+		return r.decode(response, answer)
+	case http.StatusNotFound:
+		return platform.NewNotFoundError(r.key)
+	case http.StatusConflict:
+		return platform.NewConflictError(r.key, r.expected)
+	case http.StatusGone:
+		return platform.NewLeaseLostError(r.lease)
+	case http.StatusRequestedRangeNotSatisfiable:
+		return platform.NewGapError(r.expected)
+	default:
+		return platform.NewUnavailableError(r.method+" "+r.path, r.write, fmt.Errorf("status %d", response.StatusCode))
+	}
+}
+
+func (r request) decode(response *http.Response, answer any) error {
+	if answer == nil {
+		_, err := io.Copy(io.Discard, response.Body)
+		return err
+	}
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return platform.NewUnavailableError(r.method+" "+r.path, r.write, err)
+	}
+	return nil
+}
+
+func (d EntryDocument) entry() platform.Entry {
+	return platform.Entry{Key: d.Key, Value: d.Value, Version: d.Version}
+}
+
+func keyPath(key string) string {
+	return "/v1/keys/" + url.PathEscape(key)
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,205 @@
+// Package engine is the stand-in for a model engine: a continuous batch with
+// a cost for each step, a prefix cache of limited size with pins, load reports
+// that lag, a cold start, and a switch for each fault.
+//
+// The answer to a conversation is determined by it: its first word is a digest
+// of all messages, so a caller can tell whether the engine saw the right
+// history. The last message may set the length with "answer=N". A message that
+// contains "poison" kills the engine.
+//
+// # Usage
+//
+//	e, err := engine.New(engine.Options{Address: "127.0.0.1:0", Model: "magnet", …})
+//	e.Start()
+//	e.Stats()
+package engine
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"limpethall.dev/kernel/listener"
+)
+
+// Options shape the engine.
+type Options struct {
+	Address string
+	Models  []string
+	// StepBase is the time of one step, StepEach the addition for each request
+	// in the batch.
+	StepBase time.Duration
+	StepEach time.Duration
+	// PrefillRate is how many prompt tokens are computed a second.
+	PrefillRate float64
+	// CacheTokens bounds the prefix cache.
+	CacheTokens int64
+	// Seen is shared by the engines of one deployment.
+	Seen *Seen
+	// ColdLength is how long the engine stays cold, ColdBound how many requests
+	// it then bears, and ColdFactor by how much it is slower.
+	ColdLength time.Duration
+	ColdBound  int64
+	ColdFactor float64
+	// ReportLag is the age of load reports.
+	ReportLag time.Duration
+	// DeathLength is how long the engine is gone after it died.
+	DeathLength time.Duration
+}
+
+// DefaultOptions returns an engine of a size fit for a demonstration.
+func DefaultOptions() Options {
+	return Options{
+		Address: "127.0.0.1:0", StepBase: 2 * time.Millisecond, StepEach: 100 * time.Microsecond, PrefillRate: 20_000,
+		CacheTokens: 50_000, ColdLength: time.Second, ColdBound: 2, ColdFactor: 3,
+		ReportLag: 200 * time.Millisecond, DeathLength: time.Second,
+	}
+}
+
+// Stats is what the engine counted.
+type Stats struct {
+	PromptTokens   int64
+	CachedTokens   int64
+	WastedTokens   int64
+	Generated      int64
+	Requests       int64
+	Deaths         int64
+	OverColdBound  int64
+	MostRunning    int64
+	Canceled       int64
+	PinnedPrograms int
+}
+
+// Fault is what goes wrong with the next requests.
+type Fault string
+
+// The faults.
+const (
+	FaultNone     Fault = ""
+	FaultTruncate Fault = "truncate"
+	FaultCross    Fault = "cross"
+	FaultHang     Fault = "hang"
+)
+
+// Engine is one server.
+type Engine struct {
+	options  Options
+	listener *listener.Listener
+	cache    *cache
+
+	running atomic.Int64
+	death   atomic.Pointer[chan struct{}]
+
+	mutex     sync.Mutex
+	started   string
+	coldUntil time.Time
+	deadUntil time.Time
+	cleared   int64
+	fault     Fault
+	stats     Stats
+	reports   []report
+}
+
+// New opens the port.
+func New(options Options) (*Engine, error) {
+	open, err := listener.New(listener.Options{Address: options.Address, MaxBody: 32 << 20})
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{options: options, listener: open, cache: newCache(options.CacheTokens, options.Seen)}
+	e.begin()
+	router := open.Router()
+	router.POST("/v1/chat/completions", e.complete)
+	router.GET("/v1/load", e.load)
+	router.DELETE("/v1/cache/:key", e.release)
+	return e, nil
+}
+
+// Address returns host and port.
+func (e *Engine) Address() string { return e.listener.Address() }
+
+// Start serves in the background.
+func (e *Engine) Start() { e.listener.Start() }
+
+// Close stops serving.
+func (e *Engine) Close() { _ = e.listener.Close() }
+
+// Stats returns the counts so far.
+func (e *Engine) Stats() Stats {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	stats := e.stats
+	stats.PinnedPrograms = len(e.cache.pinned())
+	return stats
+}
+
+// Pinned returns the programs for which memory is held.
+func (e *Engine) Pinned() []string { return e.cache.pinned() }
+
+// SetFault switches a fault on or, with FaultNone, all off.
+func (e *Engine) SetFault(fault Fault) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.fault = fault
+}
+
+// TurnCold makes the engine cold without a restart: its cache is gone and it
+// bears little, and no report says so but the count of cleared caches.
+func (e *Engine) TurnCold() {
+	e.cache.clear()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.cleared++
+	e.coldUntil = time.Now().Add(e.options.ColdLength)
+}
+
+// Die breaks all connections; the engine comes back cold after a while.
+func (e *Engine) Die() {
+	e.mutex.Lock()
+	e.stats.Deaths++
+	e.deadUntil = time.Now().Add(e.options.DeathLength)
+	e.mutex.Unlock()
+	close(*e.death.Load())
+	time.AfterFunc(e.options.DeathLength, e.begin)
+}
+
+// begin starts a new life of the engine.
+func (e *Engine) begin() {
+	e.cache.clear()
+	alive := make(chan struct{})
+	e.death.Store(&alive)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.started = uuid.NewString()
+	e.coldUntil = time.Now().Add(e.options.ColdLength)
+	e.reports = nil
+}
+
+func (e *Engine) dead() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return time.Now().Before(e.deadUntil)
+}
+
+func (e *Engine) cold() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return time.Now().Before(e.coldUntil)
+}
+
+// step returns the time that one step takes now.
+func (e *Engine) step() time.Duration {
+	length := e.options.StepBase + time.Duration(e.running.Load())*e.options.StepEach
+	if e.cold() {
+		length = time.Duration(float64(length) * e.options.ColdFactor)
+	}
+	return length
+}
+
+func (e *Engine) count(change func(stats *Stats)) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	change(&e.stats)
+}
