Run whole deployments on a network in memory under a fake clock

Processes take their network as a dependency. Tests put one in memory in its place, on which links have a latency and can be cut or frozen, inside a testing/synctest bubble: the real hall and limpet, hertz and net/http included, run under virtual time.

--- a/hall/cmd/hall/cmds/cmds.go
+++ b/hall/cmd/hall/cmds/cmds.go
@@ -14,6 +14,7 @@
 	"limpethall.dev/hall"
 	"limpethall.dev/kernel/command"
 	"limpethall.dev/kernel/logs"
+	"limpethall.dev/kernel/network"
 	_ "limpethall.dev/kernel/platform/httpjson" // Store and host list plug-ins.
 	"limpethall.dev/kernel/settings"
 )
@@ -41,11 +42,11 @@
 	if err := settings.Load(path, &own); err != nil {
 		return err
 	}
-	store, err := own.Store.Open()
+	store, err := own.Store.Open(network.TCP{})
 	if err != nil {
 		return err
 	}
-	process, err := hall.New(own, store, logs.New(own.Log, os.Stderr))
+	process, err := hall.New(own, network.TCP{}, store, logs.New(own.Log, os.Stderr))
 	if err != nil {
 		return err
 	}
--- a/hall/hall.go
+++ b/hall/hall.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	process, err := hall.New(settings, store, book)
+//	process, err := hall.New(settings, network.TCP{}, store, book)
 //	err = process.Start(ctx)
 //	…
 //	err = process.Stop(ctx) // graceful: no request is cut
@@ -34,6 +34,7 @@
 	"limpethall.dev/kernel/listener"
 	"limpethall.dev/kernel/logs"
 	"limpethall.dev/kernel/metrics"
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/peer"
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/program"
@@ -50,6 +51,7 @@
 // Process is one hall.
 type Process struct {
 	settings  Settings
+	network   network.Network
 	logs      *logs.Book
 	logger    *zap.Logger
 	store     platform.Store
@@ -74,8 +76,8 @@
 }
 
 // New opens the hall's two ports; nothing is served before Start.
-func New(settings Settings, store platform.Store, book *logs.Book) (*Process, error) {
-	p := &Process{settings: settings, logs: book, logger: book.Layer("hall"), store: store}
+func New(settings Settings, own network.Network, store platform.Store, book *logs.Book) (*Process, error) {
+	p := &Process{settings: settings, network: own, logs: book, logger: book.Layer("hall"), store: store}
 	if err := p.open(); err != nil {
 		p.close()
 		return nil, err
@@ -152,11 +154,11 @@
 	if err != nil {
 		return err
 	}
-	p.public, err = listener.New(listener.Options{Address: p.settings.Listen, MaxBody: p.settings.Limits.MaxBodyBytes, TLS: encryption})
+	p.public, err = listener.New(listener.Options{Network: p.network, Address: p.settings.Listen, MaxBody: p.settings.Limits.MaxBodyBytes, TLS: encryption})
 	if err != nil {
 		return err
 	}
-	if p.internal, err = listener.New(listener.Options{Address: p.settings.PeerListen, MaxBody: peerBodyBytes}); err != nil {
+	if p.internal, err = listener.New(listener.Options{Network: p.network, Address: p.settings.PeerListen, MaxBody: peerBodyBytes}); err != nil {
 		return err
 	}
 	if p.meters, err = metrics.New("hall"); err != nil {
@@ -169,14 +171,14 @@
 	if err != nil {
 		return err
 	}
-	p.hosts, err = construct(p.settings.Hosts.Address)
+	p.hosts, err = construct(p.network, p.settings.Hosts.Address)
 	return err
 }
 
 // connect builds what the hall knows of the others.
 func (p *Process) connect() {
 	p.identity = fleet.Identity{Name: p.settings.Name, Zone: p.settings.Zone, Incarnation: uint64(time.Now().UnixNano())}
-	p.client = peer.NewClient(p.book)
+	p.client = peer.NewClient(p.book, p.network)
 	p.roster = host.NewWatcher(p.store, p.logs.Layer("roster"))
 	p.follower = configuration.NewFollower(p.store, p.logs.Layer("configuration"))
 	p.fleet = fleet.New(p.identity, p.roster, p.follower, p.client, p.logs.Layer("fleet"))
--- a/kernel/listener/listener.go
+++ b/kernel/listener/listener.go
@@ -28,6 +28,8 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/samber/oops"
+
+	"limpethall.dev/kernel/network"
 )
 
 const (
@@ -44,6 +46,8 @@
 
 // Options are the settings of a listener.
 type Options struct {
+	// Network is where the port is opened; none means TCP.
+	Network network.Network
 	// Address is host and port; port zero takes a free one.
 	Address string
 	// MaxBody bounds a request body in bytes.
@@ -62,7 +66,10 @@
 
 // New opens the port.
 func New(options Options) (*Listener, error) {
-	socket, err := net.Listen("tcp", options.Address)
+	if options.Network == nil {
+		options.Network = network.TCP{}
+	}
+	socket, err := options.Network.Listen(options.Address)
 	if err != nil {
 		return nil, oops.In("listener").Wrapf(err, "open %s", options.Address)
 	}
@@ -79,6 +86,7 @@
 		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(exitWait),
 		server.WithDisablePrintRoute(true),
+		server.WithDisableDefaultDate(true),
 		server.WithUseRawPath(true),
 		server.WithHandleMethodNotAllowed(true),
 		server.WithRedirectTrailingSlash(false),
--- a/kernel/peer/client.go
+++ b/kernel/peer/client.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	client := peer.NewClient(book)
+//	client := peer.NewClient(book, network.TCP{})
 //	status, err := client.Limpet(address).Beat(ctx, &wire.BeatRequest{...})
 //	stream, err := client.Open(ctx, address, peer.CallPath, dispatch)
 //	defer stream.Close()
@@ -26,6 +26,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/secret"
 	"limpethall.dev/kernel/wire"
 )
@@ -42,7 +43,6 @@
 	SilenceBound = 2 * time.Second
 	// unaryTimeout bounds a unary call whose context has no deadline.
 	unaryTimeout = 2 * time.Second
-	dialTimeout  = 500 * time.Millisecond
 	idlePerHost  = 64
 )
 
@@ -94,9 +94,9 @@
 }
 
 // NewClient returns a client that signs with the book's first secret.
-func NewClient(book *secret.Book) *Client {
+func NewClient(book *secret.Book, own network.Network) *Client {
 	transport := &http.Transport{
-		DialContext:         dialer,
+		DialContext:         markUnsent(own),
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     30 * time.Second,
 		DisableCompression:  true,
@@ -106,13 +106,16 @@
 	return client
 }
 
-// dialer marks failures to connect, after which certainly nothing was sent.
-func dialer(ctx context.Context, network, address string) (net.Conn, error) {
-	connection, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, &UnsentError{cause: err}
+// markUnsent marks failures to connect, after which certainly nothing was
+// sent.
+func markUnsent(own network.Network) func(ctx context.Context, protocol, address string) (net.Conn, error) {
+	return func(ctx context.Context, protocol, address string) (net.Conn, error) {
+		connection, err := own.DialContext(ctx, protocol, address)
+		if err != nil {
+			return nil, &UnsentError{cause: err}
+		}
+		return connection, nil
 	}
-	return connection, nil
 }
 
 // Hall returns the unary interface of a hall.
--- a/kernel/platform/hostlist.go
+++ b/kernel/platform/hostlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/registry"
 )
 
@@ -29,7 +30,7 @@
 }
 
 // HostListConstructor builds a HostList for an address.
-type HostListConstructor func(address string) (HostList, error)
+type HostListConstructor func(own network.Network, address string) (HostList, error)
 
 // HostLists lists the HostList plug-ins.
 var HostLists = registry.New[HostListConstructor]("host list")
--- a/kernel/platform/httpjson/hostlist.go
+++ b/kernel/platform/httpjson/hostlist.go
@@ -6,12 +6,13 @@
 	"fmt"
 	"net/http"
 
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 )
 
 func init() {
-	platform.HostLists.Register("httpjson", func(address string) (platform.HostList, error) {
-		return NewHostList(address), nil
+	platform.HostLists.Register("httpjson", func(own network.Network, address string) (platform.HostList, error) {
+		return NewHostList(own, address), nil
 	})
 }
 
@@ -22,8 +23,9 @@
 }
 
 // NewHostList returns a client for host and port.
-func NewHostList(address string) *HostList {
-	return &HostList{url: "http://" + address + "/v1/hosts", client: &http.Client{}}
+func NewHostList(own network.Network, address string) *HostList {
+	transport := &http.Transport{DialContext: own.DialContext}
+	return &HostList{url: "http://" + address + "/v1/hosts", client: &http.Client{Transport: transport}}
 }
 
 // Hosts implements platform.HostList.
--- a/kernel/platform/httpjson/store.go
+++ b/kernel/platform/httpjson/store.go
@@ -31,6 +31,9 @@
 // watchWait is how long the service holds a watch without changes.
 const watchWait = 2 * time.Second
 
+// idleConnections is how many connections are kept open without a call.
+const idleConnections = 8
+
 // watchSlack is the time beyond watchWait after which a watch is given up.
 const watchSlack = 2 * time.Second
 
@@ -84,7 +87,11 @@
 	if timeout <= 0 {
 		timeout = time.Second
 	}
-	return &Store{base: "http://" + options.Addresses[0], timeout: timeout, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}, nil
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections}
+	if options.Network != nil {
+		transport.DialContext = options.Network.DialContext
+	}
+	return &Store{base: "http://" + options.Addresses[0], timeout: timeout, client: &http.Client{Transport: transport}}, nil
 }
 
 // Get implements platform.Store.
--- a/kernel/platform/store.go
+++ b/kernel/platform/store.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	construct, err := platform.Stores.Find("httpjson")
-//	store, err := construct(platform.StoreOptions{Addresses: []string{"127.0.0.1:7000"}})
+//	store, err := construct(platform.StoreOptions{Network: network.TCP{}, Addresses: []string{"127.0.0.1:7000"}})
 //	entry, err := store.Get(ctx, "configuration/head")
 //
 // Every method takes a context with a deadline. An UnavailableError with
@@ -19,6 +19,7 @@
 	"fmt"
 	"time"
 
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/registry"
 )
 
@@ -80,6 +81,7 @@
 
 // StoreOptions are the settings a Store plug-in is built from.
 type StoreOptions struct {
+	Network   network.Network
 	Addresses []string
 	Timeout   time.Duration
 }
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -21,6 +21,7 @@
 	"github.com/BurntSushi/toml"
 
 	"limpethall.dev/kernel/logs"
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/secret"
 )
@@ -155,12 +156,12 @@
 }
 
 // Open builds the client of the key-value service.
-func (s Store) Open() (platform.Store, error) {
+func (s Store) Open(own network.Network) (platform.Store, error) {
 	construct, err := platform.Stores.Find(s.Protocol)
 	if err != nil {
 		return nil, err
 	}
-	return construct(platform.StoreOptions{Addresses: s.Addresses, Timeout: s.Timeout.Length()})
+	return construct(platform.StoreOptions{Network: own, Addresses: s.Addresses, Timeout: s.Timeout.Length()})
 }
 
 // AddressProblems returns what is wrong with a host:port.
--- a/limpet/cmd/limpet/cmds/cmds.go
+++ b/limpet/cmd/limpet/cmds/cmds.go
@@ -13,6 +13,7 @@
 
 	"limpethall.dev/kernel/command"
 	"limpethall.dev/kernel/logs"
+	"limpethall.dev/kernel/network"
 	_ "limpethall.dev/kernel/platform/httpjson" // Store plug-in.
 	"limpethall.dev/kernel/settings"
 	"limpethall.dev/limpet"
@@ -42,11 +43,11 @@
 	if err := settings.Load(path, &own); err != nil {
 		return err
 	}
-	store, err := own.Store.Open()
+	store, err := own.Store.Open(network.TCP{})
 	if err != nil {
 		return err
 	}
-	process, err := limpet.New(own, store, logs.New(own.Log, os.Stderr))
+	process, err := limpet.New(own, network.TCP{}, store, logs.New(own.Log, os.Stderr))
 	if err != nil {
 		return err
 	}
--- a/limpet/engine/chat/chat.go
+++ b/limpet/engine/chat/chat.go
@@ -30,7 +30,6 @@
 )
 
 const (
-	dialTimeout  = 500 * time.Millisecond
 	loadTimeout  = time.Second
 	maxErrorBody = 4096
 	maxLine      = 4 << 20
@@ -52,8 +51,8 @@
 // New returns a client.
 func New(options engine.Options) *Engine {
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, protocol, address string) (net.Conn, error) {
+			connection, err := options.Network.DialContext(ctx, protocol, address)
 			if err != nil {
 				return nil, engine.NewUnreachableError(err)
 			}
--- a/limpet/engine/engine.go
+++ b/limpet/engine/engine.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	construct, err := engine.Engines.Find("chat")
-//	model, err := construct(engine.Options{Address: "127.0.0.1:8000"})
+//	model, err := construct(engine.Options{Network: network.TCP{}, Address: "127.0.0.1:8000"})
 //	end, err := model.Generate(ctx, callID, request, emit)
 package engine
 
@@ -12,6 +12,7 @@
 	"context"
 	"fmt"
 
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/registry"
 	"limpethall.dev/kernel/wire"
 )
@@ -46,6 +47,8 @@
 
 // Options are what an Engine is built from.
 type Options struct {
+	// Network is how the engine is reached.
+	Network network.Network
 	// Address is host and port of the engine.
 	Address string
 }
--- a/limpet/limpet.go
+++ b/limpet/limpet.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	process, err := limpet.New(settings, limpet.Environment{...})
+//	process, err := limpet.New(settings, network.TCP{}, store, logs)
 //	err = process.Start(ctx)
 //	…
 //	err = process.Stop(ctx) // graceful: no call is cut
@@ -23,6 +23,7 @@
 	"limpethall.dev/kernel/listener"
 	"limpethall.dev/kernel/logs"
 	"limpethall.dev/kernel/metrics"
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/queue"
 	"limpethall.dev/kernel/secret"
@@ -47,6 +48,7 @@
 // Process is one limpet.
 type Process struct {
 	settings  Settings
+	network   network.Network
 	logger    *zap.Logger
 	store     platform.Store
 	book      *secret.Book
@@ -63,13 +65,13 @@
 }
 
 // New opens the limpet's port; nothing is served before Start.
-func New(settings Settings, store platform.Store, book *logs.Book) (*Process, error) {
-	p := &Process{settings: settings, store: store, logger: book.Layer("limpet"), reachable: true}
+func New(settings Settings, own network.Network, store platform.Store, book *logs.Book) (*Process, error) {
+	p := &Process{settings: settings, network: own, store: store, logger: book.Layer("limpet"), reachable: true}
 	var err error
 	if p.book, err = secret.New(settings.Secrets); err != nil {
 		return nil, err
 	}
-	if p.listener, err = listener.New(listener.Options{Address: settings.Listen, MaxBody: settings.MaxCallBytes}); err != nil {
+	if p.listener, err = listener.New(listener.Options{Network: own, Address: settings.Listen, MaxBody: settings.MaxCallBytes}); err != nil {
 		return nil, err
 	}
 	if err := p.assemble(book); err != nil {
@@ -155,13 +157,13 @@
 
 func (p *Process) openBackend(claims *pin.Claims) (gate.Backend, error) {
 	if p.settings.Service.Name != "" {
-		return gate.NewServiceBackend(plain.New(p.settings.Service.Address), p.settings.Service.Timeout.Length()), nil
+		return gate.NewServiceBackend(plain.New(p.network, p.settings.Service.Address), p.settings.Service.Timeout.Length()), nil
 	}
 	construct, err := engine.Engines.Find(p.settings.Engine.Protocol)
 	if err != nil {
 		return nil, err
 	}
-	model, err := construct(engine.Options{Address: p.settings.Engine.Address})
+	model, err := construct(engine.Options{Network: p.network, Address: p.settings.Engine.Address})
 	if err != nil {
 		return nil, err
 	}
--- a/limpet/plain/plain.go
+++ b/limpet/plain/plain.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	service := plain.New("127.0.0.1:9000")
+//	service := plain.New(network.TCP{}, "127.0.0.1:9000")
 //	end, err := service.Call(ctx, callID, request, once, onHead, onData)
 package plain
 
@@ -21,13 +21,13 @@
 	"time"
 
 	"limpethall.dev/kernel/failure"
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/wire"
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
-	pieceBytes  = 64 << 10
-	requestID   = "X-Request-Id"
+	pieceBytes = 64 << 10
+	requestID  = "X-Request-Id"
 )
 
 // answerHeaders are the headers of an answer that reach the caller.
@@ -42,20 +42,21 @@
 
 // Service is a client of one plain service.
 type Service struct {
-	base   string
-	shared *http.Client
-	once   *http.Client
+	network network.Network
+	address string
+	shared  *http.Client
+	once    *http.Client
 }
 
 // New returns a client for host and port.
-func New(address string) *Service {
-	return &Service{base: "http://" + address, shared: newClient(false), once: newClient(true)}
+func New(own network.Network, address string) *Service {
+	return &Service{network: own, address: address, shared: newClient(own, false), once: newClient(own, true)}
 }
 
-func newClient(fresh bool) *http.Client {
+func newClient(own network.Network, fresh bool) *http.Client {
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, protocol, address string) (net.Conn, error) {
+			connection, err := own.DialContext(ctx, protocol, address)
 			if err != nil {
 				return nil, &dialError{cause: err}
 			}
@@ -71,7 +72,7 @@
 
 // Reachable reports whether the service accepts connections.
 func (s *Service) Reachable(ctx context.Context) bool {
-	connection, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", s.base[len("http://"):])
+	connection, err := s.network.DialContext(ctx, "tcp", s.address)
 	if err != nil {
 		return false
 	}
@@ -82,7 +83,7 @@
 // Call runs one call; once says that it must not be repeated. Errors are
 // *failure.Error with a true outcome.
 func (s *Service) Call(ctx context.Context, callID string, call *wire.ServiceCall, once bool, onHead func(*wire.ServiceHead), onData func([]byte)) (*wire.End, error) {
-	request, err := http.NewRequestWithContext(ctx, call.GetMethod(), s.base+call.GetPath(), bytes.NewReader(call.GetBody()))
+	request, err := http.NewRequestWithContext(ctx, call.GetMethod(), "http://"+s.address+call.GetPath(), bytes.NewReader(call.GetBody()))
 	if err != nil {
 		return nil, failure.New(failure.CodeBadRequest, failure.NotRun, "the request can't be formed: %v", err)
 	}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	c := caller.New(pick, key)
+//	c := caller.New(network.TCP{}, pick, key)
 //	p, err := c.Open(ctx, 0)
 //	answer, err := p.Turn(ctx, "magnet", "hello answer=20", true)
 //	err = p.Tool(ctx, "orders", "/book", body)
@@ -21,6 +21,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"limpethall.dev/kernel/network"
 )
 
 const (
@@ -57,10 +59,14 @@
 }
 
 // New returns a client; pick returns the address of a hall for each request.
-func New(pick func() string, key string) *Client {
-	return &Client{pick: pick, key: key, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+func New(own network.Network, pick func() string, key string) *Client {
+	transport := &http.Transport{DialContext: own.DialContext, MaxIdleConnsPerHost: 256}
+	return &Client{pick: pick, key: key, http: &http.Client{Transport: transport}}
 }
 
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Do sends one request and returns the whole answer. An error answer is an
 // *Error.
 func (c *Client) Do(ctx context.Context, method, path string, header http.Header, body []byte) (http.Header, []byte, error) {
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -21,12 +21,14 @@
 	"limpethall.dev/kernel/configuration"
 	"limpethall.dev/kernel/key"
 	"limpethall.dev/kernel/logs"
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/settings"
 	"limpethall.dev/kernel/table"
 	"limpethall.dev/limpet"
 	"limpethall.dev/standin/engine"
 	"limpethall.dev/standin/hostlist"
+	memory "limpethall.dev/standin/network"
 	"limpethall.dev/standin/service"
 	"limpethall.dev/standin/store"
 )
@@ -54,6 +56,8 @@
 	Window          limpet.WindowSettings
 	DrainDelay      time.Duration
 	Log             logs.Options
+	// Network gives each host its network; none means TCP.
+	Network func(host string) network.Network
 	// FirstHallPort, if set, is the port of the first hall for callers; the
 	// others follow it.
 	FirstHallPort int
@@ -83,21 +87,22 @@
 	limpets  []*limpet.Process
 	halls    []*hall.Process
 	editor   *configuration.Editor
+	switches map[string]*memory.Switch
 }
 
 // New opens the stand-ins; nothing is served before Start.
 func New(options Options, output io.Writer) (*Deployment, error) {
-	d := &Deployment{options: options, logs: logs.New(options.Log, output)}
+	d := &Deployment{options: options, logs: logs.New(options.Log, output), switches: make(map[string]*memory.Switch)}
 	var err error
-	if d.store, err = store.New("127.0.0.1:0"); err != nil {
+	if d.store, err = store.New(d.network("store"), "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
-	if d.hosts, err = hostlist.New("127.0.0.1:0", hostLag); err != nil {
+	if d.hosts, err = hostlist.New(d.network("hostlist"), "127.0.0.1:0", hostLag); err != nil {
 		return nil, err
 	}
 	d.store.Start()
 	d.hosts.Start()
-	client, err := d.storeSettings().Open()
+	client, err := d.storeSettings().Open(d.network("operator"))
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +145,7 @@
 		if running == nil {
 			continue
 		}
-		if err := waitReady(ctx, running.Address()); err != nil {
+		if err := d.waitReady(ctx, running.Address()); err != nil {
 			return err
 		}
 	}
@@ -231,7 +236,7 @@
 // StartHall starts a hall again under the name of its place.
 func (d *Deployment) StartHall(index int, zone string) error {
 	own := hall.DefaultSettings()
-	own.Process = d.process(fmt.Sprintf("hall-%d", index+1), zone)
+	own.Process = d.process(hallName(index), zone)
 	own.Listen = "127.0.0.1:0"
 	if d.options.FirstHallPort > 0 {
 		own.Listen = fmt.Sprintf("127.0.0.1:%d", d.options.FirstHallPort+index)
@@ -241,18 +246,22 @@
 	own.Route.PrefillRate = d.options.Engine.PrefillRate
 	own.Hosts.Address = d.hosts.Address()
 	own.DrainDelay = settings.NewDuration(d.options.DrainDelay)
-	client, err := own.Store.Open()
+	client, err := own.Store.Open(d.network(own.Name))
 	if err != nil {
 		return err
 	}
-	process, err := hall.New(own, client, d.logs)
+	wires := memory.NewSwitch(d.network(own.Name))
+	process, err := hall.New(own, wires, client, d.logs)
 	if err != nil {
 		return err
 	}
 	d.halls[index] = process
+	d.switches[own.Name] = wires
 	return process.Start(d.ctx)
 }
 
+func hallName(index int) string { return fmt.Sprintf("hall-%d", index+1) }
+
 // StopHall stops a hall gracefully.
 func (d *Deployment) StopHall(ctx context.Context, index int) error {
 	running := d.halls[index]
@@ -265,6 +274,7 @@
 
 // KillHall ends a hall as a crash would.
 func (d *Deployment) KillHall(index int) {
+	d.switches[hallName(index)].Off()
 	d.halls[index].Kill()
 	d.halls[index] = nil
 }
@@ -281,10 +291,18 @@
 
 // KillLimpet ends a limpet as a crash would.
 func (d *Deployment) KillLimpet(index int) {
+	d.switches[d.LimpetName(index)].Off()
 	d.limpets[index].Kill()
 	d.limpets[index] = nil
 }
 
+func (d *Deployment) network(host string) network.Network {
+	if d.options.Network == nil {
+		return network.TCP{}
+	}
+	return d.options.Network(host)
+}
+
 func (d *Deployment) applyTable(ctx context.Context) error {
 	var edits []table.Edit
 	for _, row := range d.options.Rows {
@@ -303,6 +321,7 @@
 	options := d.options.Engine
 	options.Models = []string{d.options.Model}
 	options.Seen = seen
+	options.Network = d.network(fmt.Sprintf("engine-%d", len(d.engines)+1))
 	model, err := engine.New(options)
 	if err != nil {
 		return err
@@ -316,7 +335,7 @@
 }
 
 func (d *Deployment) addService(zone string) error {
-	plain, err := service.New("127.0.0.1:0")
+	plain, err := service.New(d.network(fmt.Sprintf("service-%d", len(d.services)+1)), "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
@@ -336,15 +355,17 @@
 	own.Queue.Policy = d.options.QueuePolicy
 	own.Window = d.options.Window
 	shape(&own)
-	client, err := own.Store.Open()
+	client, err := own.Store.Open(d.network(own.Name))
 	if err != nil {
 		return err
 	}
-	process, err := limpet.New(own, client, d.logs)
+	wires := memory.NewSwitch(d.network(own.Name))
+	process, err := limpet.New(own, wires, client, d.logs)
 	if err != nil {
 		return err
 	}
 	d.limpets = append(d.limpets, process)
+	d.switches[own.Name] = wires
 	return process.Start(d.ctx)
 }
 
@@ -359,13 +380,15 @@
 	return own
 }
 
-func waitReady(ctx context.Context, address string) error {
+func (d *Deployment) waitReady(ctx context.Context, address string) error {
+	transport := &http.Transport{DialContext: d.network("operator").DialContext, DisableKeepAlives: true}
+	client := &http.Client{Transport: transport}
 	for {
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
 		if err != nil {
 			return err
 		}
-		response, err := http.DefaultClient.Do(request)
+		response, err := client.Do(request)
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
--- /dev/null
+++ b/standin/deployment/world_test.go
@@ -0,0 +1,135 @@
+package deployment_test
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	kernel "limpethall.dev/kernel/network"
+	"limpethall.dev/kernel/table"
+	"limpethall.dev/standin/caller"
+	"limpethall.dev/standin/deployment"
+	"limpethall.dev/standin/network"
+)
+
+// world is a deployment on a network in memory, under a fake clock.
+type world struct {
+	t       *testing.T
+	ctx     context.Context
+	network *network.Network
+	*deployment.Deployment
+	keys    map[string]string
+	next    int
+	clients []*caller.Client
+}
+
+// inWorld runs a test in a world with the given changes to its options.
+func inWorld(t *testing.T, shape func(options *deployment.Options), test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		w := newWorld(t, ctx, shape)
+		defer w.close()
+		test(w)
+	})
+}
+
+func newWorld(t *testing.T, ctx context.Context, shape func(options *deployment.Options)) *world {
+	t.Helper()
+	w := &world{t: t, ctx: ctx, network: network.New(time.Millisecond), keys: make(map[string]string)}
+	options := deployment.DefaultOptions()
+	options.Network = func(host string) kernel.Network { return w.network.Host(host) }
+	options.Rows = []table.Row{
+		table.NewRow("kovacs", 1, 1000, 1000, 20_000, nil),
+		table.NewRow("falares", 1, 1000, 1000, 20_000, nil),
+	}
+	if shape != nil {
+		shape(&options)
+	}
+	if os.Getenv("LIMPETHALL_TEST_LOG") != "" {
+		options.Log.Level = "debug"
+	} else {
+		options.Log.Level = "fatal"
+	}
+	d, err := deployment.New(options, os.Stderr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Deployment = d
+	if err := d.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range options.Rows {
+		if w.keys[row.Workspace()], err = d.CreateKey(ctx, row.Workspace()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.WaitRevision(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func (w *world) close() {
+	w.t.Helper()
+	w.Store().Memory().SetFaults(healthy)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	if err := w.Stop(ctx); err != nil {
+		w.t.Errorf("stop: got error %v, want none", err)
+	}
+	for _, client := range w.clients {
+		client.Close()
+	}
+	time.Sleep(10 * time.Minute) // Idle connections of the stand-ins run out.
+}
+
+// client returns a client of a workspace that uses the halls in turn.
+func (w *world) client(workspace string) *caller.Client {
+	pick := func() string {
+		addresses := w.Addresses()
+		w.next++
+		return addresses[w.next%len(addresses)]
+	}
+	return w.clientAt(workspace, pick)
+}
+
+func (w *world) clientAt(workspace string, pick func() string) *caller.Client {
+	client := caller.New(w.network.Host("caller"), pick, w.keys[workspace])
+	w.clients = append(w.clients, client)
+	return client
+}
+
+func (w *world) open(client *caller.Client, budget int64) *caller.Program {
+	w.t.Helper()
+	program, err := client.Open(w.ctx, budget)
+	if err != nil {
+		w.t.Fatalf("open: %v", err)
+	}
+	return program
+}
+
+func (w *world) turn(program *caller.Program, content string, stream bool) caller.Turn {
+	w.t.Helper()
+	turn, err := program.Turn(w.ctx, w.Model(), content, stream)
+	if err != nil {
+		w.t.Fatalf("turn %d of %s: %v", program.Turns()+1, program.ID(), err)
+	}
+	return turn
+}
+
+func (w *world) runs(body string) int {
+	total := 0
+	for _, running := range w.Services() {
+		total += running.Runs(body)
+	}
+	return total
+}
+
+func post(ctx context.Context, client *caller.Client, path string, header http.Header, body string) (http.Header, []byte, error) {
+	return client.Do(ctx, http.MethodPost, path, header, []byte(body))
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -22,10 +22,12 @@
 	"github.com/google/uuid"
 
 	"limpethall.dev/kernel/listener"
+	"limpethall.dev/kernel/network"
 )
 
 // Options shape the engine.
 type Options struct {
+	Network network.Network
 	Address string
 	Models  []string
 	// StepBase is the time of one step, StepEach the addition for each request
@@ -104,7 +106,7 @@
 
 // New opens the port.
 func New(options Options) (*Engine, error) {
-	open, err := listener.New(listener.Options{Address: options.Address, MaxBody: 32 << 20})
+	open, err := listener.New(listener.Options{Network: options.Network, Address: options.Address, MaxBody: 32 << 20})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	list, err := hostlist.New("127.0.0.1:0", time.Second)
+//	list, err := hostlist.New(network.TCP{}, "127.0.0.1:0", time.Second)
 //	list.Start()
 //	list.Set(platform.Host{Name: "server-1", Zone: "a", State: platform.HostLeaving})
 package hostlist
@@ -17,6 +17,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"limpethall.dev/kernel/listener"
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 )
 
@@ -35,8 +36,8 @@
 }
 
 // New opens the port; changes show after the lag.
-func New(address string, lag time.Duration) (*List, error) {
-	open, err := listener.New(listener.Options{Address: address})
+func New(own network.Network, address string, lag time.Duration) (*List, error) {
+	open, err := listener.New(listener.Options{Network: own, Address: address})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -19,6 +19,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/standin/caller"
 	"limpethall.dev/standin/deployment"
 )
@@ -118,7 +119,7 @@
 }
 
 func (r *Run) call(ctx context.Context, shape Shape, random *rand.Rand, deadline time.Time) {
-	client := caller.New(r.pick, r.keys[shape.Workspace])
+	client := caller.New(network.TCP{}, r.pick, r.keys[shape.Workspace])
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		bounded, cancel := context.WithTimeout(ctx, programTimeout)
 		began := time.Now()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	s, err := service.New("127.0.0.1:0")
+//	s, err := service.New(network.TCP{}, "127.0.0.1:0")
 //	s.Start()
 //	s.SetFault(service.FaultResetAfterRun)
 //	runs := s.Runs(`{"order":1}`)
@@ -20,6 +20,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"limpethall.dev/kernel/listener"
+	"limpethall.dev/kernel/network"
 )
 
 // Fault is what goes wrong with the next requests.
@@ -50,8 +51,8 @@
 }
 
 // New opens the port.
-func New(address string) (*Service, error) {
-	open, err := listener.New(listener.Options{Address: address})
+func New(own network.Network, address string) (*Service, error) {
+	open, err := listener.New(listener.Options{Network: own, Address: address})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	server, err := store.New("127.0.0.1:0")
+//	server, err := store.New(network.TCP{}, "127.0.0.1:0")
 //	server.Start()
 //	server.Memory().SetFaults(memory.Faults{Down: true})
 package store
@@ -21,6 +21,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"limpethall.dev/kernel/listener"
+	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/platform/httpjson"
 	"limpethall.dev/kernel/platform/memory"
@@ -36,8 +37,8 @@
 }
 
 // New opens the port.
-func New(address string) (*Server, error) {
-	open, err := listener.New(listener.Options{Address: address})
+func New(own network.Network, address string) (*Server, error) {
+	open, err := listener.New(listener.Options{Network: own, Address: address})
 	if err != nil {
 		return nil, err
 	}
