--- a/hall/entry/entry.go
+++ b/hall/entry/entry.go
@@ -127,6 +127,9 @@
 
 // serve runs the handler in a context that ends when the key is withdrawn.
 func (e *Entry) serve(ctx context.Context, c *app.RequestContext, r request, serve handler) error {
+	if size := len(c.Request.Body()); size > e.options.MaxBody {
+		return failure.New(failure.CodeTooLarge, failure.NotRun, "the body has %d bytes, the most is %d", size, e.options.MaxBody)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer e.open.add(r.keyID, cancel)()
--- a/hall/hall.go
+++ b/hall/hall.go
@@ -46,6 +46,10 @@
 	tidyInterval     = 10 * time.Second
 	hostListInterval = time.Second
 	peerBodyBytes    = 64 << 20
+	// hardBodyFactor is by how much a body may be over the limit and still be
+	// read, so that its refusal has the usual form. Beyond it the connection is
+	// refused by the HTTP library.
+	hardBodyFactor = 4
 )
 
 // Process is one hall.
@@ -154,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	p.public, err = listener.New(listener.Options{Network: p.network, Address: p.settings.Listen, MaxBody: p.settings.Limits.MaxBodyBytes, TLS: encryption})
+	p.public, err = listener.New(listener.Options{Network: p.network, Address: p.settings.Listen, MaxBody: hardBodyFactor * p.settings.Limits.MaxBodyBytes, TLS: encryption})
 	if err != nil {
 		return err
 	}
--- a/limpet/pin/pin.go
+++ b/limpet/pin/pin.go
@@ -45,7 +45,8 @@
 }
 
 // Reconcile compares the claims with what the engine holds and returns what
-// it should release.
+// it should release. The engine's report lags, so a claim that ran out is
+// remembered for one more length: the report may not show yet what is held.
 func (c *Claims) Reconcile(held []string, now time.Time) []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -61,7 +62,7 @@
 		}
 	}
 	for program, until := range c.until {
-		if !now.Before(until) && !slices.Contains(held, program) {
+		if now.Sub(until) >= c.length && !slices.Contains(held, program) {
 			delete(c.until, program)
 		}
 	}
