--- a/standin/deployment/world_test.go
+++ b/standin/deployment/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,3 +140,5 @@
 func rowWithModels(workspace string, models ...string) table.Row {
 	return table.NewRow(workspace, 1, 1000, 1000, 20_000, models)
 }
+
+func containsText(text, part string) bool { return strings.Contains(text, part) }
