Prove the system under silent links, deaths, cold engines, zones out and restarts

Found by these tests and mended, each at its cause: - A request blocked before its first run crashed its handler: the answer to settle was nil. It now exists from the start. - Requests of one workspace waited for a mutex that another held across a call to the lenders. The place is now a channel that respects the caller's context. - A limpet that was replaced together with its engine opened its window while the engine was still starting. A failed load report now sets the window back, so the warm-up time counts from the last failure.

--- a/hall/allowance/allowance.go
+++ b/hall/allowance/allowance.go
@@ -55,7 +55,7 @@
 type entry struct {
 	bucket  *limit.Bucket
 	waiting atomic.Int64
-	asking  sync.Mutex
+	asking  chan struct{} // Holds one element while a request asks the lenders.
 }
 
 // New returns an allowance without workspaces and without a share. valid
@@ -73,7 +73,7 @@
 	for _, row := range accepted.Rows() {
 		known, found := a.entries[row.Workspace()]
 		if !found {
-			known = &entry{bucket: limit.NewBucket(now)}
+			known = &entry{bucket: limit.NewBucket(now), asking: make(chan struct{}, 1)}
 			known.bucket.SetShare(now, a.fraction())
 		}
 		known.bucket.Configure(now, row.Rate(), float64(row.Burst()))
@@ -159,10 +159,15 @@
 	}
 }
 
-// borrow asks the lenders unless another request of the workspace just did.
+// borrow asks the lenders, one request of a workspace at a time: what it brings
+// serves the others that wait.
 func (a *Allowance) borrow(ctx context.Context, workspace string, known *entry) {
-	known.asking.Lock()
-	defer known.asking.Unlock()
+	select {
+	case known.asking <- struct{}{}:
+		defer func() { <-known.asking }()
+	case <-ctx.Done():
+		return
+	}
 	wanted := known.bucket.Wanted(a.now(), int(known.waiting.Load()))
 	if wanted <= 0 {
 		return
--- a/hall/hall.go
+++ b/hall/hall.go
@@ -215,7 +215,7 @@
 		Follower: p.follower, Neighbors: p.neighbors, Allowance: p.allowance, Home: p.home, Roster: p.roster,
 		Client: p.client, Counters: counters, Logger: p.logs.Layer("entry"), Now: time.Now,
 	}).Mount(p.public)
-	listener.NewProbes(p.ready, p.meters.Handler()).Mount(p.public)
+	listener.NewProbes(p.Ready, p.meters.Handler()).Mount(p.public)
 	peers.New(peers.Parts{
 		Follower: p.follower, Neighbors: p.neighbors, Allowance: p.allowance, Fleet: p.fleet, Home: p.home,
 		Archive: archive, Active: p.public.Active, Logger: p.logs.Layer("peers"), Now: time.Now,
@@ -264,8 +264,8 @@
 	return p.internal.Address()
 }
 
-// ready reports why the balancer should send no requests.
-func (p *Process) ready() error {
+// Ready reports why the balancer should send no requests.
+func (p *Process) Ready() error {
 	if p.leaving.Load() {
 		return errors.New("this hall is stopping")
 	}
--- a/hall/home/model.go
+++ b/hall/home/model.go
@@ -94,7 +94,7 @@
 // runSafely runs the call, again if need be as long as the caller has seen
 // nothing of an answer, and notes it as suspect when its server dies.
 func (h *Home) runSafely(ctx context.Context, run modelRun, send Send) (modelAnswer, error) {
-	var got modelAnswer
+	got := modelAnswer{answer: program.NewAnswer()}
 	var err error
 	for number := range maxRuns {
 		if err := h.Suspects.Check(run.digest); err != nil {
--- a/limpet/gate/watch.go
+++ b/limpet/gate/watch.go
@@ -47,11 +47,15 @@
 // Models returns the models of the last report.
 func (w *Watch) Models() []string { return w.last.Models }
 
+// count takes in whether the server answered. One that does not may be
+// starting, so it counts as cold until it has answered for the whole warm-up
+// time.
 func (w *Watch) count(reachable bool) {
 	if reachable {
 		w.failures = 0
 	} else {
 		w.failures++
+		w.gate.TurnedCold("no load report")
 	}
 	w.notify(w.failures < failedReports)
 }
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -209,6 +209,18 @@
 	return addresses
 }
 
+// ReadyAddresses returns where callers reach the halls whose readiness probe
+// passes: those that a balancer would use.
+func (d *Deployment) ReadyAddresses() []string {
+	var addresses []string
+	for _, running := range d.halls {
+		if running != nil && running.Ready() == nil {
+			addresses = append(addresses, running.Address())
+		}
+	}
+	return addresses
+}
+
 // LimpetName returns the name of a limpet by its place in start order.
 func (d *Deployment) LimpetName(index int) string { return fmt.Sprintf("server-%d", index+1) }
 
@@ -271,11 +283,12 @@
 // StopHall stops a hall gracefully.
 func (d *Deployment) StopHall(ctx context.Context, index int) error {
 	running := d.halls[index]
-	d.halls[index] = nil
 	if running == nil {
 		return nil
 	}
-	return running.Stop(ctx)
+	err := running.Stop(ctx)
+	d.halls[index] = nil
+	return err
 }
 
 // KillHall ends a hall as a crash would.
--- a/standin/deployment/world_test.go
+++ b/standin/deployment/world_test.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
+
 	kernel "limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/table"
 	"limpethall.dev/standin/caller"
@@ -25,6 +29,8 @@
 	keys    map[string]string
 	next    int
 	clients []*caller.Client
+	mutex   sync.Mutex
+	retries atomic.Int64
 }
 
 // inWorld runs a test in a world with the given changes to its options.
@@ -93,16 +99,26 @@
 
 // client returns a client of a workspace that uses the halls in turn.
 func (w *world) client(workspace string) *caller.Client {
-	pick := func() string {
-		addresses := w.Addresses()
-		w.next++
-		return addresses[w.next%len(addresses)]
-	}
-	return w.clientAt(workspace, pick)
+	return w.clientAt(workspace, func() string { return w.inTurn(w.Addresses()) })
+}
+
+// readyClient returns a client that, like the balancer, leaves a hall whose
+// readiness probe fails.
+func (w *world) readyClient(workspace string) *caller.Client {
+	return w.clientAt(workspace, func() string { return w.inTurn(w.ReadyAddresses()) })
+}
+
+func (w *world) inTurn(addresses []string) string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.next++
+	return addresses[w.next%len(addresses)]
 }
 
 func (w *world) clientAt(workspace string, pick func() string) *caller.Client {
 	client := caller.New(w.network.Host("caller"), pick, w.keys[workspace])
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.clients = append(w.clients, client)
 	return client
 }
@@ -120,8 +136,9 @@
 	w.t.Helper()
 	turn, err := program.Turn(w.ctx, w.Model(), content, stream)
 	if err != nil {
-		w.t.Fatalf("turn %d of %s: %v", program.Turns()+1, program.ID(), err)
+		w.t.Errorf("turn %d of %s: %v", program.Turns()+1, program.ID(), err)
 	}
+	w.retries.Add(int64(program.Retries()))
 	return turn
 }
 
@@ -142,3 +159,10 @@
 }
 
 func containsText(text, part string) bool { return strings.Contains(text, part) }
+
+// TestMain starts the HTTP library's only goroutine that outlives a server
+// outside of any test's clock.
+func TestMain(m *testing.M) {
+	protocol.ServerDateOnce.Do(protocol.UpdateServerDate)
+	os.Exit(m.Run())
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -23,8 +23,12 @@
 
 	"limpethall.dev/kernel/listener"
 	"limpethall.dev/kernel/network"
+	switched "limpethall.dev/standin/network"
 )
 
+// maxBody bounds a request in bytes.
+const maxBody = 32 << 20
+
 // Options shape the engine.
 type Options struct {
 	Network network.Network
@@ -87,17 +91,17 @@
 
 // Engine is one server.
 type Engine struct {
-	options  Options
-	listener *listener.Listener
-	cache    *cache
-
+	options Options
+	address string
+	cache   *cache
 	running atomic.Int64
-	death   atomic.Pointer[chan struct{}]
 
 	mutex     sync.Mutex
+	wires     *switched.Switch
+	listener  *listener.Listener
 	started   string
 	coldUntil time.Time
-	deadUntil time.Time
+	closed    bool
 	cleared   int64
 	fault     Fault
 	stats     Stats
@@ -106,27 +110,24 @@
 
 // New opens the port.
 func New(options Options) (*Engine, error) {
-	open, err := listener.New(listener.Options{Network: options.Network, Address: options.Address, MaxBody: 32 << 20})
-	if err != nil {
-		return nil, err
-	}
-	e := &Engine{options: options, listener: open, cache: newCache(options.CacheTokens, options.Seen)}
-	e.begin()
-	router := open.Router()
-	router.POST("/v1/chat/completions", e.complete)
-	router.GET("/v1/load", e.load)
-	router.DELETE("/v1/cache/:key", e.release)
-	return e, nil
+	e := &Engine{options: options, address: options.Address, cache: newCache(options.CacheTokens, options.Seen)}
+	return e, e.open()
 }
 
 // Address returns host and port.
-func (e *Engine) Address() string { return e.listener.Address() }
+func (e *Engine) Address() string { return e.address }
 
 // Start serves in the background.
 func (e *Engine) Start() { e.listener.Start() }
 
 // Close stops serving.
-func (e *Engine) Close() { _ = e.listener.Close() }
+func (e *Engine) Close() {
+	e.mutex.Lock()
+	e.closed = true
+	open := e.listener
+	e.mutex.Unlock()
+	_ = open.Close()
+}
 
 // Stats returns the counts so far.
 func (e *Engine) Stats() Stats {
@@ -157,32 +158,50 @@
 	e.coldUntil = time.Now().Add(e.options.ColdLength)
 }
 
-// Die breaks all connections; the engine comes back cold after a while.
+// Die breaks all connections and refuses new ones; the engine comes back cold
+// after a while.
 func (e *Engine) Die() {
 	e.mutex.Lock()
 	e.stats.Deaths++
-	e.deadUntil = time.Now().Add(e.options.DeathLength)
+	wires := e.wires
 	e.mutex.Unlock()
-	close(*e.death.Load())
-	time.AfterFunc(e.options.DeathLength, e.begin)
+	wires.Off()
+	time.AfterFunc(e.options.DeathLength, e.revive)
 }
 
-// begin starts a new life of the engine.
-func (e *Engine) begin() {
+func (e *Engine) revive() {
+	e.mutex.Lock()
+	closed := e.closed
+	e.mutex.Unlock()
+	if closed {
+		return
+	}
+	if err := e.open(); err == nil {
+		e.Start()
+	}
+}
+
+// open starts a new life of the engine on its address.
+func (e *Engine) open() error {
+	wires := switched.NewSwitch(e.options.Network)
+	opened, err := listener.New(listener.Options{Network: wires, Address: e.address, MaxBody: maxBody})
+	if err != nil {
+		return err
+	}
+	router := opened.Router()
+	router.POST("/v1/chat/completions", e.complete)
+	router.GET("/v1/load", e.load)
+	router.DELETE("/v1/cache/:key", e.release)
 	e.cache.clear()
-	alive := make(chan struct{})
-	e.death.Store(&alive)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.wires = wires
+	e.listener = opened
+	e.address = opened.Address()
 	e.started = uuid.NewString()
 	e.coldUntil = time.Now().Add(e.options.ColdLength)
 	e.reports = nil
-}
-
-func (e *Engine) dead() bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return time.Now().Before(e.deadUntil)
+	return nil
 }
 
 func (e *Engine) cold() bool {
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -79,10 +79,6 @@
 }
 
 func (e *Engine) complete(ctx context.Context, c *app.RequestContext) {
-	if e.dead() {
-		drop(c)
-		return
-	}
 	var request completionRequest
 	if err := json.Unmarshal(c.Request.Body(), &request); err != nil || len(request.Messages) == 0 {
 		c.String(http.StatusBadRequest, "malformed request")
@@ -90,7 +86,7 @@
 	}
 	e.enter()
 	defer e.running.Add(-1)
-	run := &run{engine: e, request: request, id: string(c.GetHeader("X-Request-Id")), death: *e.death.Load(), fault: e.currentFault()}
+	run := &run{engine: e, request: request, id: string(c.GetHeader("X-Request-Id")), fault: e.currentFault()}
 	if run.poisoned() {
 		e.Die()
 	}
@@ -125,7 +121,6 @@
 	engine  *Engine
 	request completionRequest
 	id      string
-	death   chan struct{}
 	fault   Fault
 	prompt  int64
 	cached  int64
@@ -136,13 +131,11 @@
 	return strings.Contains(string(last), "poison")
 }
 
-// wait returns false when the engine died or the caller left.
+// wait returns false when the connection broke, as when the engine died.
 func (r *run) wait(ctx context.Context, length time.Duration) bool {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
-	case <-r.death:
-		return false
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
@@ -252,10 +245,6 @@
 
 // load answers with a report of some age.
 func (e *Engine) load(_ context.Context, c *app.RequestContext) {
-	if e.dead() {
-		drop(c)
-		return
-	}
 	now := time.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -269,10 +258,6 @@
 }
 
 func (e *Engine) release(_ context.Context, c *app.RequestContext) {
-	if e.dead() {
-		drop(c)
-		return
-	}
 	e.cache.release(c.Param("key"))
 	c.Status(http.StatusOK)
 }
--- a/standin/network/network.go
+++ b/standin/network/network.go
@@ -98,13 +98,17 @@
 	name    string
 }
 
-// Listen opens an address of this host. The port of the address is ignored.
-func (h *Host) Listen(string) (net.Listener, error) {
+// Listen opens an address of this host. An address of another host stands for
+// any free port of this one.
+func (h *Host) Listen(wanted string) (net.Listener, error) {
 	n := h.network
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.nextPort++
-	address := fmt.Sprintf("%s:%d", h.name, n.nextPort)
+	address := wanted
+	if !strings.HasPrefix(wanted, h.name+":") {
+		n.nextPort++
+		address = fmt.Sprintf("%s:%d", h.name, n.nextPort)
+	}
 	opened := &socket{network: n, address: address, accepted: make(chan net.Conn, backlog), closed: make(chan struct{})}
 	n.listeners[address] = opened
 	return opened, nil
