--- a/hall/allowance/keeper.go
+++ b/hall/allowance/keeper.go
@@ -27,7 +27,6 @@
 	giveInterval = time.Second
 	// deadInterval is the pause between two looks for dead holders.
 	deadInterval = 5 * time.Second
-	keeperPause  = 300 * time.Millisecond
 )
 
 // Keeper keeps this hall's entry in the share table.
@@ -87,18 +86,34 @@
 
 // Follow keeps the share in step with the table until the context ends.
 func (k *Keeper) Follow(ctx context.Context) error {
-	for ctx.Err() == nil {
-		revision, err := k.read(ctx)
-		if err == nil {
-			err = k.watch(ctx, revision)
-		}
-		if err != nil && ctx.Err() == nil {
-			k.logger.Debug("share table not in step", zap.Error(err))
-			clear(k.missing)
-			sleepQuiet(ctx, keeperPause)
+	return platform.Follow(ctx, k.store, sharesKey, k)
+}
+
+// Replace implements platform.Subscriber.
+func (k *Keeper) Replace(ctx context.Context, listing platform.Listing) error {
+	if len(listing.Entries) == 0 {
+		return k.create(ctx)
+	}
+	if err := k.take(ctx, listing.Entries[0]); err != nil {
+		return err
+	}
+	return k.tend(ctx)
+}
+
+// Apply implements platform.Subscriber.
+func (k *Keeper) Apply(ctx context.Context, changes platform.Changes) error {
+	for _, event := range changes.Events {
+		if err := k.take(ctx, event.Entry); err != nil {
+			return err
 		}
 	}
-	return nil
+	return k.tend(ctx)
+}
+
+// Failed implements platform.Subscriber.
+func (k *Keeper) Failed(err error) {
+	k.logger.Debug("share table not in step", zap.Error(err))
+	clear(k.missing)
 }
 
 // Leave hands this hall's share to another one and gives up its tenure.
@@ -124,40 +139,6 @@
 	return k.registrar.Leave(ctx)
 }
 
-func (k *Keeper) read(ctx context.Context) (uint64, error) {
-	listing, err := k.store.List(ctx, sharesKey)
-	if err != nil {
-		return 0, err
-	}
-	if len(listing.Entries) == 0 {
-		return listing.Revision, k.create(ctx)
-	}
-	return listing.Revision, k.take(ctx, listing.Entries[0])
-}
-
-func (k *Keeper) watch(ctx context.Context, revision uint64) error {
-	for ctx.Err() == nil {
-		if err := k.tend(ctx); err != nil {
-			return err
-		}
-		changes, err := k.store.Watch(ctx, sharesKey, revision)
-		var gap *platform.GapError
-		if errors.As(err, &gap) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		for _, event := range changes.Events {
-			if err := k.take(ctx, event.Entry); err != nil {
-				return err
-			}
-		}
-		revision = changes.Revision
-	}
-	return nil
-}
-
 func (k *Keeper) create(ctx context.Context) error {
 	if k.registrar.Epoch() == 0 {
 		return errors.New("not registered as a holder yet")
@@ -288,5 +269,3 @@
 	_, err = k.store.CompareAndSwap(ctx, sharesKey, value, version, 0)
 	return err
 }
-
-func sleepQuiet(ctx context.Context, length time.Duration) { _ = sleep(ctx, length) }
--- a/hall/home/suspects.go
+++ b/hall/home/suspects.go
@@ -23,8 +23,7 @@
 	// SuspectLength is how long a request stays suspect or refused.
 	SuspectLength = 10 * time.Minute
 	// runLength is how long a suspect holds the right to run alone.
-	runLength     = 2 * time.Minute
-	suspectsPause = 300 * time.Millisecond
+	runLength = 2 * time.Minute
 )
 
 // Suspects keeps the requests that ran when a backend server died, by the
@@ -54,15 +53,32 @@
 
 // Follow keeps the list in step with the service until the context ends.
 func (s *Suspects) Follow(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := s.follow(ctx); err != nil && ctx.Err() == nil {
-			s.logger.Debug("suspects not read", zap.Error(err))
-			waitFor(ctx, suspectsPause)
+	return platform.Follow(ctx, s.store, suspectsPrefix, s)
+}
+
+// Replace implements platform.Subscriber.
+func (s *Suspects) Replace(_ context.Context, listing platform.Listing) error {
+	for _, entry := range listing.Entries {
+		s.take(entry)
+	}
+	return nil
+}
+
+// Apply implements platform.Subscriber.
+func (s *Suspects) Apply(_ context.Context, changes platform.Changes) error {
+	for _, event := range changes.Events {
+		if !event.Deleted {
+			s.take(event.Entry)
 		}
 	}
 	return nil
 }
 
+// Failed implements platform.Subscriber.
+func (s *Suspects) Failed(err error) {
+	s.logger.Debug("suspects not read", zap.Error(err))
+}
+
 // Check refuses a request that has been there for too many deaths.
 func (s *Suspects) Check(digest []byte) error {
 	if count := s.count(digest); count >= maxDeaths {
@@ -154,30 +170,6 @@
 	}
 }
 
-func (s *Suspects) follow(ctx context.Context) error {
-	listing, err := s.store.List(ctx, suspectsPrefix)
-	if err != nil {
-		return err
-	}
-	for _, entry := range listing.Entries {
-		s.take(entry)
-	}
-	revision := listing.Revision
-	for ctx.Err() == nil {
-		changes, err := s.store.Watch(ctx, suspectsPrefix, revision)
-		if err != nil {
-			return err
-		}
-		for _, event := range changes.Events {
-			if !event.Deleted {
-				s.take(event.Entry)
-			}
-		}
-		revision = changes.Revision
-	}
-	return nil
-}
-
 func (s *Suspects) take(entry platform.Entry) {
 	var known deathCount
 	if err := json.Unmarshal(entry.Value, &known); err != nil {
@@ -187,10 +179,3 @@
 	defer s.mutex.Unlock()
 	s.deaths[entry.Key] = known
 }
-
-func waitFor(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
--- a/kernel/configuration/follower.go
+++ b/kernel/configuration/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,9 +12,6 @@
 	"limpethall.dev/kernel/table"
 )
 
-// retryPause is the wait after a failed read of the store.
-const retryPause = 300 * time.Millisecond
-
 // Follower holds the newest table that its process has seen.
 type Follower struct {
 	store   platform.Store
@@ -72,62 +68,43 @@
 
 // Follow reads the store until the context ends. It only returns then.
 func (f *Follower) Follow(ctx context.Context) error {
-	for ctx.Err() == nil {
-		revision, err := f.Refresh(ctx)
-		if err == nil {
-			err = f.watch(ctx, revision)
-		}
-		if err != nil && ctx.Err() == nil {
-			f.logger.Warn("configuration not read", zap.Error(err))
-			pause(ctx, retryPause)
-		}
-	}
-	return nil
+	return platform.Follow(ctx, f.store, headKey, f)
 }
 
-// Refresh reads the head once and returns the store revision to watch from.
-func (f *Follower) Refresh(ctx context.Context) (uint64, error) {
-	listing, err := f.store.List(ctx, headKey)
-	if err != nil {
-		return 0, err
-	}
+// Replace implements platform.Subscriber.
+func (f *Follower) Replace(ctx context.Context, listing platform.Listing) error {
 	f.touch()
 	for _, entry := range listing.Entries {
-		if entry.Key != headKey {
-			continue
-		}
 		if err := f.take(ctx, entry); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	return listing.Revision, nil
+	return nil
 }
 
-func (f *Follower) watch(ctx context.Context, revision uint64) error {
-	for ctx.Err() == nil {
-		changes, err := f.store.Watch(ctx, headKey, revision)
-		var gap *platform.GapError
-		if errors.As(err, &gap) {
-			return nil // Follow reads the head anew.
+// Apply implements platform.Subscriber.
+func (f *Follower) Apply(ctx context.Context, changes platform.Changes) error {
+	f.touch()
+	for _, event := range changes.Events {
+		if event.Deleted {
+			continue
 		}
-		if err != nil {
+		if err := f.take(ctx, event.Entry); err != nil {
 			return err
 		}
-		f.touch()
-		for _, event := range changes.Events {
-			if event.Deleted || event.Entry.Key != headKey {
-				continue
-			}
-			if err := f.take(ctx, event.Entry); err != nil {
-				return err
-			}
-		}
-		revision = changes.Revision
 	}
 	return nil
 }
 
+// Failed implements platform.Subscriber.
+func (f *Follower) Failed(err error) {
+	f.logger.Warn("configuration not read", zap.Error(err))
+}
+
 func (f *Follower) take(ctx context.Context, entry platform.Entry) error {
+	if entry.Key != headKey {
+		return nil
+	}
 	newest, err := readHead(entry)
 	if err != nil {
 		return err
@@ -144,12 +121,3 @@
 }
 
 func (f *Follower) touch() { f.contact.Store(time.Now().UnixNano()) }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/kernel/host/watcher.go
+++ b/kernel/host/watcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +15,6 @@
 const (
 	// keptRosters is how many earlier rosters a watcher can still name.
 	keptRosters = 256
-	// watchPause is the wait after a failed read of the store.
-	watchPause = 300 * time.Millisecond
 	// returnGrace is how long removals are put off after an outage of the
 	// store, in which leases may have lapsed of processes that are alive.
 	returnGrace = 4 * time.Second
@@ -96,58 +93,39 @@
 
 // Follow reads the roster until the context ends.
 func (w *Watcher) Follow(ctx context.Context) error {
-	for ctx.Err() == nil {
-		revision, err := w.refresh(ctx)
-		if err == nil {
-			err = w.watch(ctx, revision)
-		}
-		if err != nil && ctx.Err() == nil {
-			w.logger.Warn("roster not read, the last one stays in force", zap.Error(err))
-			wait(ctx, watchPause)
-		}
-	}
-	return nil
+	return platform.Follow(ctx, w.store, prefix, w)
 }
 
-// refresh lists the members. After an outage it waits before it believes that
-// members are gone.
-func (w *Watcher) refresh(ctx context.Context) (uint64, error) {
-	listing, err := w.store.List(ctx, prefix)
-	if err != nil {
-		return 0, err
-	}
+// Replace implements platform.Subscriber. After an outage it waits before it
+// believes that members are gone.
+func (w *Watcher) Replace(ctx context.Context, listing platform.Listing) error {
 	last := w.LastContact()
-	afterOutage := !last.IsZero() && time.Since(last) > outageLength
-	if afterOutage {
+	if !last.IsZero() && time.Since(last) > outageLength {
 		w.logger.Info("store is back, removals wait", zap.Duration("grace", returnGrace))
 		w.merge(listing)
 		wait(ctx, returnGrace)
+		var err error
 		if listing, err = w.store.List(ctx, prefix); err != nil {
-			return 0, err
+			return err
 		}
 	}
 	w.touch()
 	w.replace(listing)
-	return listing.Revision, nil
+	return nil
 }
 
-func (w *Watcher) watch(ctx context.Context, revision uint64) error {
-	for ctx.Err() == nil {
-		changes, err := w.store.Watch(ctx, prefix, revision)
-		var gap *platform.GapError
-		if errors.As(err, &gap) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		w.touch()
-		w.apply(changes)
-		revision = changes.Revision
-	}
+// Apply implements platform.Subscriber.
+func (w *Watcher) Apply(_ context.Context, changes platform.Changes) error {
+	w.touch()
+	w.apply(changes)
 	return nil
 }
 
+// Failed implements platform.Subscriber.
+func (w *Watcher) Failed(err error) {
+	w.logger.Warn("roster not read, the last one stays in force", zap.Error(err))
+}
+
 func (w *Watcher) replace(listing platform.Listing) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- /dev/null
+++ b/kernel/limit/bucket_test.go
@@ -0,0 +1,206 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"limpethall.dev/kernel/limit"
+)
+
+// epsilon covers the rounding of sums of tokens.
+const epsilon = 1e-6
+
+// meter checks that for every interval no more was admitted than burst plus
+// rate times length: it is one bucket over all halls that must never overflow.
+type meter struct {
+	rate, burst float64
+	level       float64
+	last        time.Time
+}
+
+func (m *meter) admit(now time.Time) error {
+	m.level = max(0, m.level-m.rate*now.Sub(m.last).Seconds()) + 1
+	m.last = now
+	if m.level > m.burst+epsilon {
+		return fmt.Errorf("%.3f tokens were out at once, burst is %.0f", m.level, m.burst)
+	}
+	return nil
+}
+
+// halls is a model of several halls that lend to each other by messages which
+// are late, lost or repeated.
+type halls struct {
+	now     time.Time
+	rate    float64
+	burst   float64
+	buckets []*limit.Bucket
+	shares  []float64
+	pending []message
+	meter   meter
+}
+
+// message is something that will happen at a hall later.
+type message struct {
+	at    time.Time
+	apply func()
+}
+
+func newHalls(rt *rapid.T) *halls {
+	count := rapid.IntRange(1, 5).Draw(rt, "halls")
+	h := &halls{
+		now: time.Unix(1000, 0), rate: float64(rapid.IntRange(1, 500).Draw(rt, "rate")), burst: float64(rapid.IntRange(1, 200).Draw(rt, "burst")),
+	}
+	for range count {
+		h.buckets = append(h.buckets, h.fresh(1/float64(count)))
+		h.shares = append(h.shares, 1/float64(count))
+	}
+	h.meter = meter{rate: h.rate, burst: h.burst, last: h.now}
+	return h
+}
+
+func (h *halls) fresh(share float64) *limit.Bucket {
+	bucket := limit.NewBucket(h.now)
+	bucket.Configure(h.now, h.rate, h.burst)
+	bucket.SetShare(h.now, share)
+	return bucket
+}
+
+func (h *halls) later(delay time.Duration, apply func()) {
+	h.pending = append(h.pending, message{at: h.now.Add(delay), apply: apply})
+}
+
+func (h *halls) advance(length time.Duration) {
+	h.now = h.now.Add(length)
+	var left []message
+	for _, due := range h.pending {
+		if due.at.After(h.now) {
+			left = append(left, due)
+			continue
+		}
+		due.apply()
+	}
+	h.pending = left
+}
+
+func draw(rt *rapid.T, h *halls, name string) int {
+	return rapid.IntRange(0, len(h.buckets)-1).Draw(rt, name)
+}
+
+func delay(rt *rapid.T, name string) time.Duration {
+	return time.Duration(rapid.IntRange(0, 700).Draw(rt, name)) * time.Millisecond
+}
+
+func TestNoMoreThanTheRowOverAllHalls(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHalls(rt)
+		rt.Repeat(map[string]func(*rapid.T){
+			"time passes": func(rt *rapid.T) {
+				h.advance(time.Duration(rapid.IntRange(0, 300).Draw(rt, "milliseconds")) * time.Millisecond)
+			},
+			"requests come": func(rt *rapid.T) {
+				hall := draw(rt, h, "hall")
+				for range rapid.IntRange(1, 60).Draw(rt, "requests") {
+					if !h.buckets[hall].Take(h.now) {
+						break
+					}
+					if err := h.meter.admit(h.now); err != nil {
+						rt.Fatalf("hall %d: %v", hall, err)
+					}
+				}
+			},
+			"a hall borrows": func(rt *rapid.T) { h.borrow(rt) },
+			"a share moves": func(rt *rapid.T) {
+				from, to := draw(rt, h, "from"), draw(rt, h, "to")
+				part := h.shares[from] * rapid.Float64Range(0, 1).Draw(rt, "part")
+				h.setShare(from, h.shares[from]-part)
+				if rapid.Bool().Draw(rt, "arrives") {
+					h.later(delay(rt, "delay"), func() { h.setShare(to, h.shares[to]+part) })
+				}
+			},
+			"a hall restarts": func(rt *rapid.T) {
+				hall := draw(rt, h, "hall")
+				h.buckets[hall] = h.fresh(h.shares[hall])
+			},
+		})
+	})
+}
+
+func (h *halls) setShare(hall int, share float64) {
+	h.shares[hall] = share
+	h.buckets[hall].SetShare(h.now, share)
+}
+
+// borrow sends a request that arrives late and an answer that arrives later,
+// never, or after the borrower was replaced.
+func (h *halls) borrow(rt *rapid.T) {
+	from, to := draw(rt, h, "lender"), draw(rt, h, "borrower")
+	if from == to {
+		return
+	}
+	borrower := h.buckets[to]
+	wanted := borrower.Wanted(h.now, rapid.IntRange(1, 50).Draw(rt, "waiting"))
+	asked := h.now
+	back := delay(rt, "answer")
+	lost := rapid.Bool().Draw(rt, "lost")
+	h.later(delay(rt, "request"), func() {
+		loan := h.buckets[from].Lend(h.now, wanted)
+		if !lost {
+			h.later(back, func() { borrower.Accept(asked, h.now, loan) })
+		}
+	})
+}
+
+func TestLoweredRowHoldsOnceInstalled(t *testing.T) {
+	now := time.Unix(1000, 0)
+	bucket := limit.NewBucket(now)
+	bucket.Configure(now, 100, 100)
+	bucket.SetShare(now, 1)
+	now = now.Add(10 * time.Second)
+	bucket.Configure(now, 10, 5)
+	admitted := 0
+	for bucket.Take(now) {
+		admitted++
+	}
+	if got, want := admitted, 5; got != want {
+		t.Errorf("admitted at once after the row was lowered: got %d, want %d", got, want)
+	}
+}
+
+func TestWholeRateIsUsable(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start
+	idle, busy := limit.NewBucket(now), limit.NewBucket(now)
+	for _, bucket := range []*limit.Bucket{idle, busy} {
+		bucket.Configure(now, 100, 100)
+		bucket.SetShare(now, 0.5)
+	}
+	admitted := 0
+	for now.Before(start.Add(20 * time.Second)) {
+		now = now.Add(5 * time.Millisecond)
+		if busy.Take(now) {
+			admitted++
+			continue
+		}
+		asked := now
+		now = now.Add(2 * time.Millisecond)
+		busy.Accept(asked, now, idle.Lend(now, busy.Wanted(now, 1)))
+	}
+	if got, least := admitted, 1900; got < least {
+		t.Errorf("admitted in 20 s at one of two halls, row of 100 a second: got %d, want at least %d", got, least)
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	now := time.Unix(1000, 0)
+	bucket := limit.NewBucket(now)
+	bucket.Configure(now, 1e9, 1e9)
+	bucket.SetShare(now, 1)
+	now = now.Add(time.Minute)
+	b.ReportAllocs()
+	for b.Loop() {
+		bucket.Take(now)
+	}
+}
--- /dev/null
+++ b/kernel/platform/follow.go
@@ -0,0 +1,67 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// followPause is the wait before a prefix is listed again after a failure or
+// a gap.
+const followPause = 300 * time.Millisecond
+
+// Subscriber is told what happens below a prefix.
+type Subscriber interface {
+	// Replace takes in the whole state of the prefix.
+	Replace(ctx context.Context, listing Listing) error
+	// Apply takes in the changes since, which are empty when nothing happened
+	// for a while.
+	Apply(ctx context.Context, changes Changes) error
+	// Failed is told of each failure, the subscriber's own included, after
+	// which the prefix is listed again.
+	Failed(err error)
+}
+
+// Follow keeps a subscriber in step with a prefix until the context ends. It
+// only returns then.
+func Follow(ctx context.Context, store Store, prefix string, subscriber Subscriber) error {
+	for ctx.Err() == nil {
+		err := follow(ctx, store, prefix, subscriber)
+		if ctx.Err() != nil {
+			return nil
+		}
+		var gap *GapError
+		if !errors.As(err, &gap) {
+			subscriber.Failed(err)
+		}
+		timer := time.NewTimer(followPause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// follow returns the first failure.
+func follow(ctx context.Context, store Store, prefix string, subscriber Subscriber) error {
+	listing, err := store.List(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	if err := subscriber.Replace(ctx, listing); err != nil {
+		return err
+	}
+	revision := listing.Revision
+	for {
+		changes, err := store.Watch(ctx, prefix, revision)
+		if err != nil {
+			return err
+		}
+		if err := subscriber.Apply(ctx, changes); err != nil {
+			return err
+		}
+		revision = changes.Revision
+	}
+}
--- a/kernel/platform/httpjson/store.go
+++ b/kernel/platform/httpjson/store.go
@@ -94,6 +94,9 @@
 	return &Store{base: "http://" + options.Addresses[0], timeout: timeout, client: &http.Client{Transport: transport}}, nil
 }
 
+// Close closes idle connections.
+func (s *Store) Close() { s.client.CloseIdleConnections() }
+
 // Get implements platform.Store.
 func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
 	var entry EntryDocument
--- /dev/null
+++ b/kernel/platform/memory/memory_test.go
@@ -0,0 +1,17 @@
+package memory_test
+
+import (
+	"testing"
+	"time"
+
+	"limpethall.dev/kernel/platform"
+	"limpethall.dev/kernel/platform/contract"
+	"limpethall.dev/kernel/platform/memory"
+)
+
+func TestContract(t *testing.T) {
+	contract.Check(t, func(*testing.T) (platform.Store, contract.Control) {
+		store := memory.New(time.Now)
+		return store, store
+	})
+}
