Watch for callers that leave without a second reader of their connection

Cause, found by the race detector: the HTTP library's own sensing starts a read beside the handler; after a failed write it returns the connection's buffers to their pool while that read still runs, so bytes of one connection could reach another. Ruled out: waiting for the read (the library does, but not on that path). Now one goroutine for each connection reads it all the time and hands the bytes on through a pipe; the handler's context ends with the connection.

--- a/kernel/listener/listener.go
+++ b/kernel/listener/listener.go
@@ -78,11 +78,11 @@
 	}
 	l := &Listener{socket: socket}
 	l.hertz = server.New(
-		server.WithListener(socket),
+		server.WithListener(watchedListener{socket}),
+		server.WithOnAccept(contextOf),
 		server.WithTransport(standard.NewTransporter),
 		server.WithTLS(options.TLS),
 		server.WithMaxRequestBodySize(options.MaxBody),
-		server.WithSenseClientDisconnection(true),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(exitWait),
 		server.WithDisablePrintRoute(true),
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -15,6 +15,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"limpethall.dev/hall"
@@ -92,6 +94,10 @@
 	owns     []limpet.Settings
 	halls    []*hall.Process
 	editor   *configuration.Editor
+
+	// mutex guards what changes when processes come and go: halls, limpets and
+	// switches.
+	mutex    sync.Mutex
 	switches map[string]*memory.Switch
 }
 
@@ -146,7 +152,7 @@
 
 // WaitReady waits until every hall is ready.
 func (d *Deployment) WaitReady(ctx context.Context) error {
-	for _, running := range d.halls {
+	for _, running := range d.Halls() {
 		if running == nil {
 			continue
 		}
@@ -178,7 +184,11 @@
 }
 
 // Halls returns the halls; one that was stopped is nil.
-func (d *Deployment) Halls() []*hall.Process { return d.halls }
+func (d *Deployment) Halls() []*hall.Process {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Clone(d.halls)
+}
 
 // Engines returns the model engines.
 func (d *Deployment) Engines() []*engine.Engine { return d.engines }
@@ -201,7 +211,7 @@
 // Addresses returns where callers reach the halls that run.
 func (d *Deployment) Addresses() []string {
 	var addresses []string
-	for _, running := range d.halls {
+	for _, running := range d.Halls() {
 		if running != nil {
 			addresses = append(addresses, running.Address())
 		}
@@ -213,7 +223,7 @@
 // passes: those that a balancer would use.
 func (d *Deployment) ReadyAddresses() []string {
 	var addresses []string
-	for _, running := range d.halls {
+	for _, running := range d.Halls() {
 		if running != nil && running.Ready() == nil {
 			addresses = append(addresses, running.Address())
 		}
@@ -245,8 +255,10 @@
 
 // AddHall starts one more hall in a zone.
 func (d *Deployment) AddHall(zone string) error {
+	d.mutex.Lock()
 	index := len(d.halls)
 	d.halls = append(d.halls, nil)
+	d.mutex.Unlock()
 	return d.StartHall(index, zone)
 }
 
@@ -273,8 +285,10 @@
 	if err != nil {
 		return err
 	}
+	d.mutex.Lock()
 	d.halls[index] = process
 	d.switches[own.Name] = wires
+	d.mutex.Unlock()
 	return process.Start(d.ctx)
 }
 
@@ -282,26 +296,30 @@
 
 // StopHall stops a hall gracefully.
 func (d *Deployment) StopHall(ctx context.Context, index int) error {
-	running := d.halls[index]
+	running := d.Halls()[index]
 	if running == nil {
 		return nil
 	}
 	err := running.Stop(ctx)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	d.halls[index] = nil
 	return err
 }
 
 // KillHall ends a hall as a crash would.
 func (d *Deployment) KillHall(index int) {
-	d.switches[hallName(index)].Off()
-	d.halls[index].Kill()
+	d.mutex.Lock()
+	running, wires := d.halls[index], d.switches[hallName(index)]
 	d.halls[index] = nil
+	d.mutex.Unlock()
+	wires.Off()
+	running.Kill()
 }
 
 // StopLimpet stops a limpet gracefully.
 func (d *Deployment) StopLimpet(ctx context.Context, index int) error {
-	running := d.limpets[index]
-	d.limpets[index] = nil
+	running, _ := d.takeLimpet(index)
 	if running == nil {
 		return nil
 	}
@@ -310,9 +328,17 @@
 
 // KillLimpet ends a limpet as a crash would.
 func (d *Deployment) KillLimpet(index int) {
-	d.switches[d.LimpetName(index)].Off()
-	d.limpets[index].Kill()
+	running, wires := d.takeLimpet(index)
+	wires.Off()
+	running.Kill()
+}
+
+func (d *Deployment) takeLimpet(index int) (*limpet.Process, *memory.Switch) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	running := d.limpets[index]
 	d.limpets[index] = nil
+	return running, d.switches[d.LimpetName(index)]
 }
 
 func (d *Deployment) network(host string) network.Network {
@@ -394,8 +420,10 @@
 	if err != nil {
 		return err
 	}
+	d.mutex.Lock()
 	d.limpets[index] = process
 	d.switches[own.Name] = wires
+	d.mutex.Unlock()
 	return process.Start(d.ctx)
 }
 
@@ -444,7 +472,7 @@
 	if err != nil {
 		return err
 	}
-	for _, running := range d.halls {
+	for _, running := range d.Halls() {
 		for running != nil && running.Revision() < current.Revision() {
 			select {
 			case <-ctx.Done():
--- a/standin/deployment/world_test.go
+++ b/standin/deployment/world_test.go
@@ -36,6 +36,7 @@
 // inWorld runs a test in a world with the given changes to its options.
 func inWorld(t *testing.T, shape func(options *deployment.Options), test func(w *world)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 		defer cancel()
