--- a/hall/home/lifetime.go
+++ b/hall/home/lifetime.go
@@ -91,8 +91,12 @@
 	return err
 }
 
-// resume enters the program of a request with its record loaded.
+// resume enters the program of a request with its record loaded. Only
+// operators come without a ticket: entries refuse callers that have none.
 func (h *Home) resume(ctx context.Context, request *wire.ProgramRequest) (*resident, func(), error) {
+	if request.GetTicket() == "" {
+		return h.resumeForOperator(ctx, request.GetProgramId())
+	}
 	turn := &wire.TurnRequest{ProgramId: request.GetProgramId(), Workspace: request.GetWorkspace(), Ticket: request.GetTicket()}
 	ticket, err := h.openTicket(turn)
 	if err != nil {
@@ -109,6 +113,25 @@
 	return here, leave, nil
 }
 
+// resumeForOperator enters a program with the longest record that any hall
+// holds.
+func (h *Home) resumeForOperator(ctx context.Context, id string) (*resident, func(), error) {
+	here, leave, err := h.enter(ctx, id)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, found := range h.fetchAll(ctx, id) {
+		if here.record == nil || found.Turn() > here.record.Turn() {
+			here.record = found
+		}
+	}
+	if here.record == nil {
+		leave()
+		return nil, nil, NoProgram(id)
+	}
+	return here, leave, nil
+}
+
 // end marks the program as over; its turn is held.
 func (h *Home) end(ctx context.Context, here *resident) {
 	record := here.record
--- a/kernel/configuration/editor.go
+++ b/kernel/configuration/editor.go
@@ -63,6 +63,18 @@
 	return fmt.Sprintf("the table takes %d bytes, the most is %d: nothing was changed", e.bytes, maxHeadBytes)
 }
 
+// RevisionGoneError reports a revision that is not kept.
+type RevisionGoneError struct {
+	wanted uint64
+	oldest uint64
+	newest uint64
+}
+
+// Error names the revisions that are kept.
+func (e *RevisionGoneError) Error() string {
+	return fmt.Sprintf("revision %d is not kept: use one from %d to %d", e.wanted, e.oldest, e.newest)
+}
+
 // Editor writes accepted changes.
 type Editor struct {
 	store platform.Store
@@ -83,6 +95,31 @@
 	return load(ctx, e.store, newest, table.New())
 }
 
+// At returns the table at a revision that the head's changes lead to. Earlier
+// ones are no longer kept and give a *RevisionGoneError.
+func (e *Editor) At(ctx context.Context, revision uint64) (*table.Table, error) {
+	newest, _, err := e.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if revision > newest.Revision || revision < newest.SnapshotRevision {
+		return nil, &RevisionGoneError{wanted: revision, oldest: newest.SnapshotRevision, newest: newest.Revision}
+	}
+	base, err := snapshot(ctx, e.store, newest)
+	if err != nil {
+		return nil, err
+	}
+	for _, change := range newest.Changes {
+		if change.Revision() <= base.Revision() || change.Revision() > revision {
+			continue
+		}
+		if base, err = base.Apply(change); err != nil {
+			return nil, err
+		}
+	}
+	return base, nil
+}
+
 // History returns the changes that the head still holds, oldest first.
 func (e *Editor) History(ctx context.Context) ([]table.Change, error) {
 	newest, _, err := e.head(ctx)
--- a/kernel/configuration/head.go
+++ b/kernel/configuration/head.go
@@ -118,19 +118,28 @@
 	if newest.covers(current.Revision()) {
 		return newest.advance(current)
 	}
-	base := table.New()
-	if newest.SnapshotRevision > 0 {
-		entry, err := store.Get(ctx, snapshotKey(newest.SnapshotRevision))
-		if err != nil {
-			return nil, err
-		}
-		base, err = table.Restore(entry.Value)
-		if err != nil {
-			return nil, &DamagedError{key: entry.Key, detail: err.Error()}
-		}
+	base, err := snapshot(ctx, store, newest)
+	if err != nil {
+		return nil, err
 	}
 	if !newest.covers(base.Revision()) {
 		return nil, &DamagedError{key: headKey, detail: "changes do not lead on from the snapshot"}
 	}
 	return newest.advance(base)
 }
+
+// snapshot returns the table from which the head's changes lead on.
+func snapshot(ctx context.Context, store platform.Store, newest head) (*table.Table, error) {
+	if newest.SnapshotRevision == 0 {
+		return table.New(), nil
+	}
+	entry, err := store.Get(ctx, snapshotKey(newest.SnapshotRevision))
+	if err != nil {
+		return nil, err
+	}
+	base, err := table.Restore(entry.Value)
+	if err != nil {
+		return nil, &DamagedError{key: entry.Key, detail: err.Error()}
+	}
+	return base, nil
+}
--- a/kernel/host/watcher.go
+++ b/kernel/host/watcher.go
@@ -193,3 +193,20 @@
 }
 
 func (w *Watcher) touch() { w.contact.Store(time.Now().UnixNano()) }
+
+// ReadRoster returns the roster as the store has it now.
+func ReadRoster(ctx context.Context, store platform.Store) (*Roster, error) {
+	listing, err := store.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	members := make([]Member, 0, len(listing.Entries))
+	for _, entry := range listing.Entries {
+		var member Member
+		if err := json.Unmarshal(entry.Value, &member); err != nil {
+			return nil, err
+		}
+		members = append(members, member)
+	}
+	return NewRoster(listing.Revision, members), nil
+}
