--- a/hallctl/operator/operator.go
+++ b/hallctl/operator/operator.go
@@ -136,10 +136,13 @@
 // Apply makes the table what the file says, if base is still the newest
 // revision, and waits until that is in force everywhere.
 func (t *Tool) Apply(ctx context.Context, path string, base uint64) error {
-	_, edits, err := t.plan(ctx, path)
+	current, edits, err := t.plan(ctx, path)
 	if err != nil {
 		return err
 	}
+	if current.Revision() != base {
+		return configuration.NewRaceError(base, current.Revision())
+	}
 	return t.change(ctx, base, edits)
 }
 
--- a/hallctl/operator/status.go
+++ b/hallctl/operator/status.go
@@ -236,4 +236,3 @@
 	}
 	return found, lines.Err()
 }
-
--- a/kernel/command/command.go
+++ b/kernel/command/command.go
@@ -1,5 +1,5 @@
 // Package command holds what the long-lived programs share on the command
-// line: version, run and check.
+// line: run, check, and the library's own version and help.
 //
 // # Usage
 //
@@ -55,18 +55,12 @@
 	check := flaggy.NewSubcommand("check")
 	check.Description = "Report every mistake in a settings file; exit code 2 if there is one."
 	check.String(&path, "s", "settings", "The TOML settings file.")
-	version := flaggy.NewSubcommand("version")
-	version.Description = "Print the version."
 	parser.AttachSubcommand(run, 1)
 	parser.AttachSubcommand(check, 1)
-	parser.AttachSubcommand(version, 1)
 	if err := parser.ParseArgs(arguments); err != nil {
 		return Fail(err)
 	}
 	switch {
-	case version.Used:
-		fmt.Println(p.Name, Version)
-		return ExitDone
 	case run.Used && path != "":
 		return p.serve(path)
 	case check.Used && path != "":
--- a/kernel/configuration/editor.go
+++ b/kernel/configuration/editor.go
@@ -26,6 +26,12 @@
 	current uint64
 }
 
+// NewRaceError returns the error for a change planned from one revision where
+// another one is found.
+func NewRaceError(planned, current uint64) *RaceError {
+	return &RaceError{planned: planned, current: current}
+}
+
 // Error says what to do.
 func (e *RaceError) Error() string {
 	return fmt.Sprintf("configuration is at revision %d, but this change was planned from %d: plan again; nothing was changed", e.current, e.planned)
--- a/kernel/limit/shares_test.go
+++ b/kernel/limit/shares_test.go
@@ -21,7 +21,7 @@
 			"give": func(rt *rapid.T) {
 				shares = shares.Give(hall("from"), hall("to"), rapid.Int64Range(0, 2*limit.WholeParts).Draw(rt, "parts"))
 			},
-			"give the surplus": func(rt *rapid.T) {
+			"give the surplus": func(*rapid.T) {
 				giver := hall("hall")
 				if taker, parts := shares.Surplus(giver); parts > 0 {
 					shares = shares.Give(giver, taker, parts)
--- a/kernel/platform/follow.go
+++ b/kernel/platform/follow.go
@@ -17,23 +17,25 @@
 	// Apply takes in the changes since, which are empty when nothing happened
 	// for a while.
 	Apply(ctx context.Context, changes Changes) error
-	// Failed is told of each failure, the subscriber's own included, after
-	// which the prefix is listed again.
+	// Failed is told of the first failure after a success, the subscriber's own
+	// included. The prefix is then listed again until that succeeds.
 	Failed(err error)
 }
 
 // Follow keeps a subscriber in step with a prefix until the context ends. It
 // only returns then.
 func Follow(ctx context.Context, store Store, prefix string, subscriber Subscriber) error {
+	healthy := true
 	for ctx.Err() == nil {
-		err := follow(ctx, store, prefix, subscriber)
+		listed, err := follow(ctx, store, prefix, subscriber)
 		if ctx.Err() != nil {
 			return nil
 		}
 		var gap *GapError
-		if !errors.As(err, &gap) {
+		if (healthy || listed) && !errors.As(err, &gap) {
 			subscriber.Failed(err)
 		}
+		healthy = false
 		timer := time.NewTimer(followPause)
 		select {
 		case <-ctx.Done():
@@ -44,23 +46,24 @@
 	return nil
 }
 
-// follow returns the first failure.
-func follow(ctx context.Context, store Store, prefix string, subscriber Subscriber) error {
+// follow returns the first failure, and whether it came after the prefix was
+// listed.
+func follow(ctx context.Context, store Store, prefix string, subscriber Subscriber) (listed bool, err error) {
 	listing, err := store.List(ctx, prefix)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if err := subscriber.Replace(ctx, listing); err != nil {
-		return err
+		return true, err
 	}
 	revision := listing.Revision
 	for {
 		changes, err := store.Watch(ctx, prefix, revision)
 		if err != nil {
-			return err
+			return true, err
 		}
 		if err := subscriber.Apply(ctx, changes); err != nil {
-			return err
+			return true, err
 		}
 		revision = changes.Revision
 	}
--- a/kernel/table/table_test.go
+++ b/kernel/table/table_test.go
@@ -28,7 +28,7 @@
 			`5:1: workspace "A b": burst: 0 is not allowed, use 1 to 1000000 requests`,
 			`6:1: workspace "A b": budget: 0 is not allowed, use 1 or more tokens`,
 		}},
-		{"unknown key", "toml", "[[workspace]]\nworkspace = \"a\"\nweight = 1\nrate = 1.0\nburst = 1\nbudget = 1\ncolour = 3\n", []string{`7:1: workspace.colour: this key is not known`}},
+		{"unknown key", "toml", "[[workspace]]\nworkspace = \"a\"\nweight = 1\nrate = 1.0\nburst = 1\nbudget = 1\ncolor = 3\n", []string{`7:1: workspace.color: this key is not known`}},
 		{"twice", "csv", "workspace,weight,rate,burst,budget,models\na,1,1,1,1,\na,1,1,1,1,\n", []string{`3:1: workspace "a": workspace: stands twice`}},
 		{"not numbers", "csv", "workspace,weight,rate,burst,budget,models\na,x,y,1,1,\n", []string{
 			`2:3: workspace "a": weight: "x" is not a whole number`, `2:5: workspace "a": rate: "y" is not a number`,
--- a/limpet/engine/chat/chat.go
+++ b/limpet/engine/chat/chat.go
@@ -238,8 +238,8 @@
 		return engine.NewTruncatedError(fmt.Sprintf("a chunk of request %q came instead", read.RequestID))
 	}
 	for _, choice := range read.Choices {
-		if len(choice.Delta) > 2 {
-			a.emit(&wire.Delta{Json: choice.Delta, Tokens: 1})
+		if len(choice.Delta) > len("{}") {
+			a.emit(&wire.Delta{Json: choice.Delta, Tokens: tokensOf(choice.Delta)})
 		}
 		if choice.FinishReason != "" {
 			a.end.FinishReason = choice.FinishReason
@@ -254,6 +254,15 @@
 	return nil
 }
 
+// tokensOf returns how many tokens a delta stands for. Engines send one for
+// each token, and some without any, as for the role alone.
+func tokensOf(delta []byte) int64 {
+	if bytes.Contains(delta, []byte(`"content":""`)) && !bytes.Contains(delta, []byte(`"tool_calls"`)) {
+		return 0
+	}
+	return 1
+}
+
 func (a *answer) finish() (*wire.End, error) {
 	if a.end.FinishReason == "" {
 		return nil, engine.NewTruncatedError("no finish reason")
--- a/standin/cmd/standin/cmds/cmds.go
+++ b/standin/cmd/standin/cmds/cmds.go
@@ -37,10 +37,12 @@
 	seed    int
 	hold    bool
 	port    int
+	listen  string
+	model   string
 }
 
 func run(args []string) int {
-	given := arguments{seconds: 10, seed: 1, port: 8080}
+	given := arguments{seconds: 10, seed: 1, port: 8080, listen: "127.0.0.1:0", model: "magnet"}
 	parser := flaggy.NewParser("standin")
 	parser.Description = "Small stand-ins for the platform, a demonstration of limpethall in one process, and load runs."
 	parser.Version = command.Version
@@ -51,11 +53,20 @@
 	demo.Bool(&given.hold, "o", "hold", "Start without load, print addresses and a key, and serve until SIGTERM or SIGINT.")
 	demo.Int(&given.port, "p", "port", "With --hold, the first hall's port for callers.")
 	parser.AttachSubcommand(demo, 1)
+	single := singles(&given)
+	for _, each := range single {
+		parser.AttachSubcommand(each.parser, 1)
+	}
 	if err := parser.ParseArgs(args); err != nil {
 		return command.Fail(err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	for _, each := range single {
+		if each.parser.Used {
+			return each.serve(ctx)
+		}
+	}
 	var err error
 	switch {
 	case demo.Used && given.hold:
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -30,8 +30,8 @@
 }
 
 type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
 }
 
 type completionChunk struct {
