--- a/standin/caller/program.go
+++ b/standin/caller/program.go
@@ -38,8 +38,9 @@
 	messages [][]byte
 	turns    int
 	// Retries counts requests that were sent again.
-	retries int
-	spent   int64
+	retries  int
+	refusals map[string]int64
+	spent    int64
 }
 
 // Turn is the answer to one turn.
@@ -100,7 +101,7 @@
 	if err := json.Unmarshal(answer, &state); err != nil {
 		return nil, err
 	}
-	return &Program{client: c, id: state.Program, ticket: state.Ticket}, nil
+	return &Program{client: c, id: state.Program, ticket: state.Ticket, refusals: make(map[string]int64)}, nil
 }
 
 // ID returns the program's identifier.
@@ -118,6 +119,10 @@
 // Retries returns how many requests were sent again.
 func (p *Program) Retries() int { return p.retries }
 
+// Refusals returns how often a request was sent again, by the code of the
+// answer before.
+func (p *Program) Refusals() map[string]int64 { return p.refusals }
+
 // Child opens a sub-agent with a part of the budget.
 func (p *Program) Child(ctx context.Context, budget int64) (*Program, error) {
 	return p.client.open(ctx, "/v1/programs/"+p.id+"/children", map[string]any{"budget": budget, "ticket": p.ticket})
@@ -324,6 +329,14 @@
 	return answer, nil
 }
 
+func codeOf(err error) string {
+	var answered *Error
+	if errors.As(err, &answered) {
+		return answered.Code
+	}
+	return "noAnswer"
+}
+
 // shouldRetry waits as the answer says and reports whether the same request
 // may be sent again. A request whose outcome is unknown may, because the
 // ticket keeps it from running twice, unless the answer is final: then it
@@ -346,6 +359,7 @@
 		return false
 	}
 	p.retries++
+	p.refusals[codeOf(err)]++
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/standin/cmd/standin/cmds/cmds.go
+++ b/standin/cmd/standin/cmds/cmds.go
@@ -25,6 +25,8 @@
 const (
 	startTime = 30 * time.Second
 	stopTime  = time.Minute
+	// settleTime lets shares spread and engines warm up before a load run.
+	settleTime = 8 * time.Second
 )
 
 // Main runs the program and exits.
@@ -39,10 +41,15 @@
 	port    int
 	listen  string
 	model   string
+
+	scenario string
+	policy   string
+	queue    string
+	json     string
 }
 
 func run(args []string) int {
-	given := arguments{seconds: 10, seed: 1, port: 8080, listen: "127.0.0.1:0", model: "magnet"}
+	given := arguments{seconds: 10, seed: 1, port: 8080, listen: "127.0.0.1:0", model: "magnet", scenario: "kovacs", policy: "affinity", queue: "fair"}
 	parser := flaggy.NewParser("standin")
 	parser.Description = "Small stand-ins for the platform, a demonstration of limpethall in one process, and load runs."
 	parser.Version = command.Version
@@ -52,7 +59,9 @@
 	demo.Int(&given.seed, "r", "seed", "The seed of the load.")
 	demo.Bool(&given.hold, "o", "hold", "Start without load, print addresses and a key, and serve until SIGTERM or SIGINT.")
 	demo.Int(&given.port, "p", "port", "With --hold, the first hall's port for callers.")
+	loads := given.loadCommand()
 	parser.AttachSubcommand(demo, 1)
+	parser.AttachSubcommand(loads, 1)
 	single := singles(&given)
 	for _, each := range single {
 		parser.AttachSubcommand(each.parser, 1)
@@ -69,6 +78,8 @@
 	}
 	var err error
 	switch {
+	case loads.Used:
+		err = runLoad(ctx, given)
 	case demo.Used && given.hold:
 		err = holdDemo(ctx, given)
 	case demo.Used:
@@ -112,16 +123,24 @@
 	}
 	starting, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
-	keys := make(map[string]string)
-	if err := d.Start(starting); err != nil {
-		return nil, nil, err
+	keys, err := startWithKeys(starting, d, options)
+	return d, keys, err
+}
+
+// startWithKeys starts a deployment and gives each workspace a key.
+func startWithKeys(ctx context.Context, d *deployment.Deployment, options deployment.Options) (map[string]string, error) {
+	if err := d.Start(ctx); err != nil {
+		return nil, err
 	}
+	keys := make(map[string]string)
 	for _, row := range options.Rows {
-		if keys[row.Workspace()], err = d.CreateKey(starting, row.Workspace()); err != nil {
-			return nil, nil, err
+		text, err := d.CreateKey(ctx, row.Workspace())
+		if err != nil {
+			return nil, err
 		}
+		keys[row.Workspace()] = text
 	}
-	return d, keys, d.WaitRevision(starting)
+	return keys, d.WaitRevision(ctx)
 }
 
 func stopDemo(d *deployment.Deployment) error {
@@ -135,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	report := load.New(demoShapes(), time.Duration(given.seconds)*time.Second, uint64(given.seed), d, keys).Do(ctx)
+	report := load.New(demoShapes(), nil, time.Duration(given.seconds)*time.Second, uint64(given.seed), d, keys).Do(ctx)
 	if err := stopDemo(d); err != nil {
 		return err
 	}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -25,6 +25,7 @@
 	"limpethall.dev/kernel/logs"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
+	kernelmemory "limpethall.dev/kernel/platform/memory"
 	"limpethall.dev/kernel/settings"
 	"limpethall.dev/kernel/table"
 	"limpethall.dev/limpet"
@@ -205,6 +206,14 @@
 // Model returns the model that the engines hold.
 func (d *Deployment) Model() string { return d.options.Model }
 
+// TimeAlone returns how long an idle engine takes for one more question of so
+// many bytes and an answer of so many tokens.
+func (d *Deployment) TimeAlone(bytes, tokens int) time.Duration {
+	own := d.options.Engine
+	prefill := time.Duration(float64(bytes/4) / own.PrefillRate * float64(time.Second))
+	return prefill + time.Duration(tokens)*(own.StepBase+own.StepEach)
+}
+
 // Editor returns an editor of the configuration.
 func (d *Deployment) Editor() *configuration.Editor { return d.editor }
 
@@ -461,6 +470,11 @@
 	}
 }
 
+// StoreDown switches an outage of the key-value service on or off.
+func (d *Deployment) StoreDown(down bool) {
+	d.store.Memory().SetFaults(kernelmemory.Faults{Down: down})
+}
+
 // HostLeaves marks a backend server's host as leaving in the host list.
 func (d *Deployment) HostLeaves(index int, zone string) {
 	d.hosts.Set(platform.Host{Name: d.LimpetName(index), Zone: zone, State: platform.HostLeaving})
--- a/standin/deployment/world_test.go
+++ b/standin/deployment/world_test.go
@@ -40,13 +40,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 		defer cancel()
-		w := newWorld(t, ctx, shape)
+		w := newWorld(ctx, t, shape)
 		defer w.close()
 		test(w)
 	})
 }
 
-func newWorld(t *testing.T, ctx context.Context, shape func(options *deployment.Options)) *world {
+func newWorld(ctx context.Context, t *testing.T, shape func(options *deployment.Options)) *world {
 	t.Helper()
 	w := &world{t: t, ctx: ctx, network: network.New(time.Millisecond), keys: make(map[string]string)}
 	options := deployment.DefaultOptions()
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	run := load.New(scenario, deployment, keys)
+//	run := load.New(scenario.Shapes(), scenario.Events(), length, seed, deployment, keys)
 //	report := run.Do(ctx)
 //	report.Print(os.Stdout)
 package load
@@ -50,6 +50,9 @@
 	ChildEvery int
 	// Stream switches streaming on.
 	Stream bool
+	// InsideRate says that the workspace stays inside its row, so that every
+	// refusal for its rate is wrongful.
+	InsideRate bool
 }
 
 // Run is one load run.
@@ -65,6 +68,16 @@
 	orders  atomic.Int64
 	placed  sync.Map // Bodies of tool calls that were told to have run.
 	next    atomic.Uint64
+	events  []Event
+
+	finished []time.Time
+}
+
+// Event happens once, after a part of the run's length from 0 to 1.
+type Event struct {
+	At   float64
+	Name string
+	Do   func(ctx context.Context, d *deployment.Deployment) error
 }
 
 type result struct {
@@ -75,17 +88,19 @@
 	retries  int64
 	latency  *hdrhistogram.Histogram
 	first    *hdrhistogram.Histogram
+	slowdown *hdrhistogram.Histogram // In thousandths.
 	refusals map[string]int64
 	errors   []string
 }
 
 // New returns a run over the given length; keys has one for each workspace.
-func New(shapes []Shape, length time.Duration, seed uint64, d *deployment.Deployment, keys map[string]string) *Run {
-	run := &Run{shapes: shapes, length: length, seed: seed, deployment: d, keys: keys, results: make(map[string]*result)}
+func New(shapes []Shape, events []Event, length time.Duration, seed uint64, d *deployment.Deployment, keys map[string]string) *Run {
+	run := &Run{shapes: shapes, events: events, length: length, seed: seed, deployment: d, keys: keys, results: make(map[string]*result)}
 	for _, shape := range shapes {
 		run.results[shape.Workspace] = &result{
 			latency:  hdrhistogram.New(1, histogramMax, histogramDigits),
 			first:    hdrhistogram.New(1, histogramMax, histogramDigits),
+			slowdown: hdrhistogram.New(1, histogramMax, histogramDigits),
 			refusals: make(map[string]int64),
 		}
 	}
@@ -100,6 +115,14 @@
 	deadline := began.Add(r.length)
 	var wait sync.WaitGroup
 	number := uint64(0)
+	for _, event := range r.events {
+		wait.Go(func() {
+			pause(ctx, time.Duration(event.At*float64(r.length)))
+			if err := event.Do(ctx, r.deployment); err != nil {
+				r.failEvent(event.Name, err)
+			}
+		})
+	}
 	for _, shape := range r.shapes {
 		for range shape.Callers {
 			number++
@@ -109,12 +132,20 @@
 	}
 	wait.Wait()
 	elapsed := time.Since(began)
-	return newReport(r, elapsed, r.deployment.Store().Memory().Calls()-calls)
+	return newReport(r, began, elapsed, r.deployment.Store().Memory().Calls()-calls)
 }
 
-// pick returns the halls in turn, as a balancer would.
+func (r *Run) failEvent(name string, err error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	own := r.results[r.shapes[0].Workspace]
+	own.failed++
+	own.errors = append(own.errors, name+": "+err.Error())
+}
+
+// pick returns the ready halls in turn, as a balancer would.
 func (r *Run) pick() string {
-	addresses := r.deployment.Addresses()
+	addresses := r.deployment.ReadyAddresses()
 	return addresses[r.next.Add(1)%uint64(len(addresses))]
 }
 
@@ -140,6 +171,9 @@
 	for _, first := range program.first {
 		_ = own.first.RecordValue(first.Microseconds())
 	}
+	for code, count := range program.refusals {
+		own.refusals[code] += count
+	}
 	own.programs++
 	if err != nil {
 		own.failed++
@@ -151,6 +185,8 @@
 		return
 	}
 	_ = own.latency.RecordValue(latency.Microseconds())
+	_ = own.slowdown.RecordValue(int64(1000 * float64(latency) / float64(program.alone)))
+	r.finished = append(r.finished, time.Now())
 }
 
 // course is one program on its way.
@@ -163,6 +199,9 @@
 	tools   int64
 	retries int64
 	first   []time.Duration
+	// alone is how long the program would take with everything to itself.
+	alone    time.Duration
+	refusals map[string]int64
 }
 
 func (c *course) execute(ctx context.Context) error {
@@ -170,7 +209,10 @@
 	if err != nil {
 		return err
 	}
-	defer func() { c.retries += int64(program.Retries()) }()
+	defer func() {
+		c.retries += int64(program.Retries())
+		c.refusals = program.Refusals()
+	}()
 	total := between(c.random, c.shape.MinTurns, c.shape.MaxTurns)
 	for turn := 1; turn <= total; turn++ {
 		if err := c.turn(ctx, program); err != nil {
@@ -187,7 +229,9 @@
 			}
 		}
 		if c.shape.Think > 0 {
-			pause(ctx, time.Duration(c.random.Int64N(int64(c.shape.Think))))
+			think := time.Duration(c.random.Int64N(int64(c.shape.Think)))
+			c.alone += think
+			pause(ctx, think)
 		}
 	}
 	return program.End(ctx)
@@ -212,6 +256,7 @@
 		return err
 	}
 	c.turns++
+	c.alone += c.run.deployment.TimeAlone(len(question), answer)
 	if got.First() > 0 {
 		c.first = append(c.first, got.First())
 	}
