--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 LINT_VERSION := v2.15.0
 LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test unit lint format demo wire bench clean
+.PHONY: capacity build test unit lint format demo wire bench clean
 
 build:
 	@mkdir -p $(BIN)
@@ -39,6 +39,10 @@
 wire:
 	protoc --go_out=. --go_opt=module=limpethall.dev --twirp_out=. --twirp_opt=module=limpethall.dev kernel/wire/wire.proto
 
+# What one hall, limpet, program, workspace or change costs: see docs/CAPACITY.md.
+capacity:
+	@for module in kernel standin; do (cd $$module && $(GO) test -run "^$$" -bench "Slope|Added|Requests|Take" -benchmem ./...) | grep -v "no test files" || exit 1; done
+
 bench:
 	@for module in $(MODULES); do (cd $$module && $(GO) test -run '^$$' -bench . -benchmem ./...) || exit 1; done
 
--- a/kernel/program/program_test.go
+++ b/kernel/program/program_test.go
@@ -203,3 +203,36 @@
 		t.Errorf("message:\n got %s\nwant %s", got, want)
 	}
 }
+
+// BenchmarkSlopeTicket is what sealing and opening a ticket costs each turn.
+func BenchmarkSlopeTicket(b *testing.B) {
+	known := book(b, sharedSecret)
+	ticket := ticketOf(recordOf("a", "b"))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := program.OpenTicket(known, ticket.Seal(known)); !ok {
+			b.Fatal("not opened")
+		}
+	}
+}
+
+// BenchmarkSlopeAppendTurn is what a turn costs a record, whatever its history.
+func BenchmarkSlopeAppendTurn(b *testing.B) {
+	for _, turns := range []int{1, 40, 160} {
+		b.Run(fmt.Sprint(turns), func(b *testing.B) {
+			var texts []string
+			for number := range turns {
+				texts = append(texts, fmt.Sprint("turn ", number))
+			}
+			stored := recordOf(texts...).ToWire(1)
+			next := turn("next")
+			b.ReportAllocs()
+			for b.Loop() {
+				record := program.FromWire(stored)
+				record.Append(next, "server-1")
+				record.ToWire(record.Turn())
+				stored.Turns = stored.Turns[:turns]
+			}
+		})
+	}
+}
--- a/kernel/route/route_test.go
+++ b/kernel/route/route_test.go
@@ -112,3 +112,21 @@
 		}
 	}
 }
+
+// BenchmarkSlopeChoose is what one routing decision costs.
+func BenchmarkSlopeChoose(b *testing.B) {
+	for _, size := range []int{4, 24, 200} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			policy := route.NewAffinity(route.Options{Zone: "a", PrefillRate: 4000, Random: alternate()})
+			var candidates []route.Candidate
+			for number := range size {
+				candidates = append(candidates, candidate(fmt.Sprint("server-", number), "a", 1, 0, 0))
+			}
+			request := route.NewRequest("p", 1000, 100, "server-1", 900)
+			b.ReportAllocs()
+			for b.Loop() {
+				policy.Choose(request, candidates)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/standin/deployment/slope_test.go
@@ -0,0 +1,177 @@
+package deployment_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	kernel "limpethall.dev/kernel/network"
+	"limpethall.dev/kernel/peer"
+	"limpethall.dev/kernel/secret"
+	"limpethall.dev/kernel/settings"
+	"limpethall.dev/kernel/table"
+	"limpethall.dev/kernel/wire"
+	"limpethall.dev/limpet"
+	"limpethall.dev/standin/caller"
+	"limpethall.dev/standin/deployment"
+)
+
+const benchTokens = 200
+
+// bench starts a deployment over loopback whose engines take no time.
+func bench(b *testing.B) (*deployment.Deployment, string) {
+	b.Helper()
+	options := deployment.DefaultOptions()
+	options.Zones = []string{"a", "b", "c"}
+	options.HallsPerZone = 1
+	options.EnginesPerZone = 1
+	options.ServicesPerZone = 1
+	options.Log.Level = "error"
+	options.Engine.StepBase = 0
+	options.Engine.StepEach = 0
+	options.Engine.PrefillRate = 1e12
+	options.Engine.ColdLength = time.Millisecond
+	options.Window = limpet.WindowSettings{Cold: 64, Warm: 64, WarmUp: settings.NewDuration(time.Millisecond)}
+	options.Rows = []table.Row{table.NewRow("bench", 1, 1e6, 1e6, 1e9, nil)}
+	d, err := deployment.New(options, io.Discard)
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx := context.Background()
+	if err := d.Start(ctx); err != nil {
+		b.Fatal(err)
+	}
+	key, err := d.CreateKey(ctx, "bench")
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := d.WaitRevision(ctx); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(5 * time.Second)
+	b.Cleanup(func() { _ = d.Stop(ctx) })
+	return d, key
+}
+
+// streamOnce sends a streamed chat completion and returns the times to the
+// first token and for each further one.
+func streamOnce(b *testing.B, client *http.Client, address, key string) (first, each time.Duration) {
+	b.Helper()
+	body := fmt.Sprintf(`{"model":"magnet","stream":true,"max_tokens":1000,"messages":[{"role":"user","content":"answer=%d"}]}`, benchTokens)
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	began := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if first == 0 && bytes.HasPrefix(lines.Bytes(), []byte("data:")) {
+			first = time.Since(began)
+		}
+	}
+	return first, (time.Since(began) - first) / (benchTokens - 1)
+}
+
+// BenchmarkAddedLatency compares the same stand-in engine called directly and
+// through hall and limpet, in turn, and reports the medians.
+func BenchmarkAddedLatency(b *testing.B) {
+	d, key := bench(b)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	ways := map[string]string{"direct": d.Engines()[0].Address(), "through": d.Halls()[0].Address()}
+	firsts, eachs := make(map[string][]time.Duration), make(map[string][]time.Duration)
+	for b.Loop() {
+		for way, address := range ways {
+			first, each := streamOnce(b, client, address, key)
+			firsts[way] = append(firsts[way], first)
+			eachs[way] = append(eachs[way], each)
+		}
+	}
+	for _, way := range []string{"direct", "through"} {
+		b.ReportMetric(float64(median(firsts[way]).Microseconds()), way+"-first-µs")
+		b.ReportMetric(float64(median(eachs[way]).Nanoseconds())/1000, way+"-token-µs")
+	}
+}
+
+func median(values []time.Duration) time.Duration {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// BenchmarkRequests sends short chat completions from many callers at once.
+func BenchmarkRequests(b *testing.B) {
+	d, key := bench(b)
+	addresses := d.Addresses()
+	client := caller.New(kernel.TCP{}, func() string { return addresses[0] }, key)
+	body := []byte(`{"model":"magnet","messages":[{"role":"user","content":"answer=1"}]}`)
+	b.ReportAllocs()
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, _, err := client.Do(context.Background(), http.MethodPost, "/v1/chat/completions", nil, body); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+// BenchmarkSlopeProgramBytes opens programs with one short turn each and
+// reports what three halls together hold for one of them.
+func BenchmarkSlopeProgramBytes(b *testing.B) {
+	d, key := bench(b)
+	addresses := d.Addresses()
+	next := 0
+	client := caller.New(kernel.TCP{}, func() string { next++; return addresses[next%len(addresses)] }, key)
+	before := heap()
+	count := 0
+	for b.Loop() {
+		program, err := client.Open(context.Background(), 0)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := program.Turn(context.Background(), d.Model(), "answer=8", false); err != nil {
+			b.Fatal(err)
+		}
+		count++
+	}
+	time.Sleep(time.Second)
+	b.ReportMetric(float64(heap()-before)/float64(count), "heap-bytes/program")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkSlopeBeat is one heartbeat from a hall to a limpet or another hall.
+func BenchmarkSlopeBeat(b *testing.B) {
+	d, _ := bench(b)
+	book, err := secret.New([]string{deployment.Secret})
+	if err != nil {
+		b.Fatal(err)
+	}
+	client := peer.NewClient(book, kernel.TCP{})
+	hall := client.Hall(d.Halls()[0].PeerAddress())
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := hall.Exchange(context.Background(), &wire.HallStatus{Hall: "bench", Zone: "a"}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
