--- a/hall/home/copies.go
+++ b/hall/home/copies.go
@@ -153,9 +153,18 @@
 // FetchRecord returns the copy of a program that this hall keeps for others
 // or holds as its home.
 func (h *Home) FetchRecord(id string) *wire.ProgramRecord {
-	if kept, found := h.Archive.Fetch(id); found {
-		return kept
+	kept, _ := h.Archive.Fetch(id)
+	own := h.ownRecord(id)
+	if own != nil && len(own.GetTurns()) >= len(kept.GetTurns()) {
+		return own
 	}
+	return kept
+}
+
+// ownRecord returns the record of a program that lives here. While a call of
+// it runs there is none; that call's turn is refused by the copies if another
+// home finishes one meanwhile.
+func (h *Home) ownRecord(id string) *wire.ProgramRecord {
 	h.mutex.Lock()
 	here, found := h.programs[id]
 	h.mutex.Unlock()
@@ -166,7 +175,7 @@
 	case here.turn <- struct{}{}:
 		defer func() { <-here.turn }()
 	default:
-		return nil // A call runs; its turn will be refused if it conflicts.
+		return nil
 	}
 	if here.record == nil {
 		return nil
--- a/kernel/failure/failure.go
+++ b/kernel/failure/failure.go
@@ -72,7 +72,6 @@
 	CodeOutcomeUnknown    Code = "outcomeUnknown"
 	CodeSuspectBlocked    Code = "suspectBlocked"
 	CodeConfigurationOld  Code = "configurationUnknown"
-	CodeShuttingDown      Code = "shuttingDown"
 	CodeStreamBroken      Code = "streamBroken"
 	CodeWithdrawn         Code = "keyWithdrawn"
 	CodeCanceled          Code = "canceled"
@@ -82,7 +81,6 @@
 	CodeMethodNotAllowed  Code = "methodNotAllowed"
 	CodeTimeout           Code = "timeout"
 	CodeCallRefused       Code = "callRefusedForGood"
-	CodeServiceNotAllowed Code = "serviceNotAllowed"
 	CodeProgramBusy       Code = "programBusy"
 )
 
@@ -93,7 +91,7 @@
 		return http.StatusBadRequest
 	case CodeUnauthorized, CodeWithdrawn:
 		return http.StatusUnauthorized
-	case CodeForbidden, CodeServiceNotAllowed:
+	case CodeForbidden:
 		return http.StatusForbidden
 	case CodeNotFound:
 		return http.StatusNotFound
@@ -186,7 +184,7 @@
 // call itself therefore promises nothing about it: its outcome is Unknown.
 func (e *Error) Repeatable() *Error {
 	switch e.code {
-	case CodeRateLimited, CodeProgramBusy, CodeConfigurationOld, CodeShuttingDown, CodeHistoryLost, CodeProgramEnded, CodeTooLarge, CodeCanceled, CodeNoServer:
+	case CodeRateLimited, CodeProgramBusy, CodeConfigurationOld, CodeHistoryLost, CodeProgramEnded, CodeTooLarge, CodeCanceled, CodeNoServer:
 		return e.WithOutcome(Unknown)
 	default:
 		return e
--- a/standin/deployment/configuration_test.go
+++ b/standin/deployment/configuration_test.go
@@ -120,6 +120,47 @@
 	})
 }
 
+// TestNoSecretInLogsMetricsOrErrors looks through everything that a run with
+// good, bad and withdrawn keys prints.
+func TestNoSecretInLogsMetricsOrErrors(t *testing.T) {
+	inWorld(t, func(options *deployment.Options) { options.Log.Level = "" }, func(w *world) {
+		program := w.open(w.client("kovacs"), 0)
+		w.turn(program, "question answer=8", true)
+		if _, err := program.Tool(w.ctx, deployment.ServiceName, "/book", []byte(`{}`)); err != nil {
+			t.Fatal(err)
+		}
+		w.keys["forged"] = w.keys["kovacs"][:30] + "0000"
+		texts := []string{fmt.Sprint(listModels(w.ctx, w.client("forged")))}
+		w.KillHall(0)
+		w.KillLimpet(0)
+		w.turn(program, "again answer=8", false)
+		w.change(table.NewWithdrawKey(w.keyID("kovacs")))
+		time.Sleep(forceBound)
+		texts = append(texts, fmt.Sprint(listModels(w.ctx, w.client("kovacs"))))
+		_, scraped, err := w.at("falares", 1).Do(w.ctx, http.MethodGet, "/metrics", nil, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		texts = append(texts, string(scraped), w.output.String())
+		for _, name := range []string{"kovacs", "falares", "forged"} {
+			_, secret, _ := key.Split(w.keys[name])
+			for _, text := range texts {
+				if containsText(text, secret) {
+					t.Errorf("the key of %s was printed", name)
+				}
+			}
+		}
+		for _, text := range texts {
+			if containsText(text, deployment.Secret) {
+				t.Errorf("the shared secret was printed")
+			}
+		}
+		if got, least := len(w.output.String()), 10_000; got < least {
+			t.Errorf("logs looked through: got %d bytes, want at least %d", got, least)
+		}
+	})
+}
+
 func TestOpenRouteNeedsNoKey(t *testing.T) {
 	inWorld(t, nil, func(w *world) {
 		anonymous := w.clientAt("nobody", func() string { return w.Addresses()[0] })
--- a/standin/deployment/world_test.go
+++ b/standin/deployment/world_test.go
@@ -1,7 +1,9 @@
 package deployment_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -29,10 +31,30 @@
 	keys    map[string]string
 	next    int
 	clients []*caller.Client
+	output  lockedBuffer // The logs, if the options name no level.
 	mutex   sync.Mutex
 	retries atomic.Int64
 }
 
+// lockedBuffer is a buffer for several writers.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
 // inWorld runs a test in a world with the given changes to its options.
 func inWorld(t *testing.T, shape func(options *deployment.Options), test func(w *world)) {
 	t.Helper()
@@ -55,17 +77,21 @@
 		table.NewRow("kovacs", 1, 1000, 1000, 20_000, nil),
 		table.NewRow("falares", 1, 1000, 1000, 20_000, nil),
 	}
+	options.Log.Level = "fatal"
+	if os.Getenv("LIMPETHALL_TEST_LOG") != "" {
+		options.Log.Level = "debug"
+	}
 	options.ProgramIdle = time.Minute
 	options.PinLength = 30 * time.Second
 	if shape != nil {
 		shape(&options)
 	}
-	if os.Getenv("LIMPETHALL_TEST_LOG") != "" {
+	output := io.Writer(os.Stderr)
+	if options.Log.Level == "" {
 		options.Log.Level = "debug"
-	} else {
-		options.Log.Level = "fatal"
+		output = &w.output
 	}
-	d, err := deployment.New(options, os.Stderr)
+	d, err := deployment.New(options, output)
 	if err != nil {
 		t.Fatal(err)
 	}
