Place models on engines by orders through the limpet alone

The table assigns models to servers; the limpet loads what is missing and then releases what is not wanted, one order at a time, with a fencing number that is the version of a key each incarnation writes once. Loads take one of the few permits in the key-value service. The roster follows what engines report.

--- a/kernel/host/registrar.go
+++ b/kernel/host/registrar.go
@@ -25,7 +25,7 @@
 type Registrar struct {
 	store  platform.Store
 	key    string
-	value  []byte
+	value  atomic.Pointer[[]byte]
 	length time.Duration
 	logger *zap.Logger
 	lease  atomic.Uint64
@@ -38,7 +38,9 @@
 // NewRegistrar returns a registrar of a key; length is the lease's length.
 // Several registrars of one key replace each other: the last one holds it.
 func NewRegistrar(store platform.Store, key string, value []byte, length time.Duration, logger *zap.Logger) *Registrar {
-	return &Registrar{store: store, key: key, value: value, length: length, logger: logger}
+	r := &Registrar{store: store, key: key, length: length, logger: logger}
+	r.value.Store(&value)
+	return r
 }
 
 // NewMemberRegistrar returns a registrar that keeps a member on the roster.
@@ -101,6 +103,21 @@
 	return r.Lease() != 0 && time.Since(r.LastRenewal()) < r.length
 }
 
+// Update changes the value under the present lease, as when a backend server
+// holds other models. A registration that follows uses it too.
+func (r *Registrar) Update(ctx context.Context, value []byte) error {
+	r.value.Store(&value)
+	if r.Lease() == 0 {
+		return nil
+	}
+	entry, err := r.store.Get(ctx, r.key)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.CompareAndSwap(ctx, r.key, value, entry.Version, r.Lease())
+	return err
+}
+
 // Leave ends the lease for good.
 func (r *Registrar) Leave(ctx context.Context) error {
 	r.left.Store(true)
@@ -123,7 +140,7 @@
 	} else if !platform.IsNotFound(err) {
 		return 0, err
 	}
-	if _, err := r.store.CompareAndSwap(ctx, r.key, r.value, expected, lease); err != nil {
+	if _, err := r.store.CompareAndSwap(ctx, r.key, *r.value.Load(), expected, lease); err != nil {
 		return 0, err
 	}
 	r.renew.Store(sent.UnixNano())
@@ -160,7 +177,7 @@
 func (r *Registrar) look(ctx context.Context) {
 	sent := time.Now()
 	entry, err := r.store.Get(ctx, r.key)
-	if err == nil && bytes.Equal(entry.Value, r.value) {
+	if err == nil && bytes.Equal(entry.Value, *r.value.Load()) {
 		r.seen.Store(sent.UnixNano())
 	}
 }
--- a/kernel/host/roster.go
+++ b/kernel/host/roster.go
@@ -73,6 +73,12 @@
 // Models returns the models that the backend server holds.
 func (m Member) Models() []string { return m.models }
 
+// WithModels returns the member with other models.
+func (m Member) WithModels(models []string) Member {
+	m.models = models
+	return m
+}
+
 // Service returns the plain service that the backend server runs, if any.
 func (m Member) Service() string { return m.service }
 
--- a/kernel/table/change.go
+++ b/kernel/table/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"limpethall.dev/kernel/key"
@@ -66,6 +67,32 @@
 // String describes the edit.
 func (e RemoveService) String() string { return "remove service " + e.name }
 
+// PutAssignment adds or replaces the assignment of a server.
+type PutAssignment struct{ assignment Assignment }
+
+// NewPutAssignment returns the edit.
+func NewPutAssignment(assignment Assignment) PutAssignment {
+	return PutAssignment{assignment: assignment}
+}
+
+func (PutAssignment) isEdit() {}
+
+// String describes the edit.
+func (e PutAssignment) String() string {
+	return fmt.Sprintf("assign models %s to server %s", strings.Join(e.assignment.models, ", "), e.assignment.server)
+}
+
+// RemoveAssignment leaves a server with the models that it holds.
+type RemoveAssignment struct{ server string }
+
+// NewRemoveAssignment returns the edit.
+func NewRemoveAssignment(server string) RemoveAssignment { return RemoveAssignment{server: server} }
+
+func (RemoveAssignment) isEdit() {}
+
+// String describes the edit.
+func (e RemoveAssignment) String() string { return "remove the assignment of server " + e.server }
+
 // AddKey gives a workspace another key.
 type AddKey struct{ key key.Key }
 
--- a/kernel/table/document.go
+++ b/kernel/table/document.go
@@ -32,6 +32,11 @@
 	Routes []routeDocument `json:"routes,omitempty" toml:"route"`
 }
 
+type assignmentDocument struct {
+	Server string   `json:"server" toml:"name"`
+	Models []string `json:"models" toml:"models"`
+}
+
 type keyDocument struct {
 	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
@@ -40,12 +45,13 @@
 }
 
 type tableDocument struct {
-	Revision   uint64            `json:"revision"`
-	Rows       []rowDocument     `json:"rows"`
-	Services   []serviceDocument `json:"services,omitempty"`
-	Keys       []keyDocument     `json:"keys,omitempty"`
-	ZonesOut   []string          `json:"zonesOut,omitempty"`
-	ServersOut []string          `json:"serversOut,omitempty"`
+	Revision   uint64               `json:"revision"`
+	Rows       []rowDocument        `json:"rows"`
+	Services   []serviceDocument    `json:"services,omitempty"`
+	Assigned   []assignmentDocument `json:"assigned,omitempty"`
+	Keys       []keyDocument        `json:"keys,omitempty"`
+	ZonesOut   []string             `json:"zonesOut,omitempty"`
+	ServersOut []string             `json:"serversOut,omitempty"`
 }
 
 type memberDocument struct {
@@ -55,14 +61,16 @@
 
 // editDocument holds exactly one edit; the others are nil.
 type editDocument struct {
-	PutRow        *rowDocument     `json:"putRow,omitempty"`
-	RemoveRow     string           `json:"removeRow,omitempty"`
-	PutService    *serviceDocument `json:"putService,omitempty"`
-	RemoveService string           `json:"removeService,omitempty"`
-	AddKey        *keyDocument     `json:"addKey,omitempty"`
-	WithdrawKey   string           `json:"withdrawKey,omitempty"`
-	SetZone       *memberDocument  `json:"setZone,omitempty"`
-	SetServer     *memberDocument  `json:"setServer,omitempty"`
+	PutRow           *rowDocument        `json:"putRow,omitempty"`
+	RemoveRow        string              `json:"removeRow,omitempty"`
+	PutService       *serviceDocument    `json:"putService,omitempty"`
+	RemoveService    string              `json:"removeService,omitempty"`
+	PutAssignment    *assignmentDocument `json:"putAssignment,omitempty"`
+	RemoveAssignment string              `json:"removeAssignment,omitempty"`
+	AddKey           *keyDocument        `json:"addKey,omitempty"`
+	WithdrawKey      string              `json:"withdrawKey,omitempty"`
+	SetZone          *memberDocument     `json:"setZone,omitempty"`
+	SetServer        *memberDocument     `json:"setServer,omitempty"`
 }
 
 type changeDocument struct {
@@ -87,6 +95,9 @@
 	for _, service := range document.Services {
 		restored.services[service.Name] = service.service()
 	}
+	for _, assignment := range document.Assigned {
+		restored.assigned[assignment.Server] = assignment.assignment()
+	}
 	for _, kept := range document.Keys {
 		restored.keys[kept.ID] = kept.key()
 	}
@@ -133,6 +144,9 @@
 	for _, service := range t.Services() {
 		document.Services = append(document.Services, documentOfService(service))
 	}
+	for _, assignment := range t.Assignments() {
+		document.Assigned = append(document.Assigned, documentOfAssignment(assignment))
+	}
 	for _, kept := range t.Keys() {
 		document.Keys = append(document.Keys, documentOfKey(kept))
 	}
@@ -163,6 +177,14 @@
 	return NewService(d.Name, routes)
 }
 
+func documentOfAssignment(a Assignment) assignmentDocument {
+	return assignmentDocument{Server: a.server, Models: a.models}
+}
+
+func (d assignmentDocument) assignment() Assignment {
+	return NewAssignment(d.Server, d.Models)
+}
+
 func documentOfKey(k key.Key) keyDocument {
 	return keyDocument{ID: k.ID(), Workspace: k.Workspace(), Salt: k.Salt(), Hash: k.Hash()}
 }
@@ -184,6 +206,11 @@
 		document.PutService = &service
 	case RemoveService:
 		document.RemoveService = e.name
+	case PutAssignment:
+		assignment := documentOfAssignment(e.assignment)
+		document.PutAssignment = &assignment
+	case RemoveAssignment:
+		document.RemoveAssignment = e.server
 	case AddKey:
 		kept := documentOfKey(e.key)
 		document.AddKey = &kept
@@ -207,6 +234,10 @@
 		return PutService{service: d.PutService.service()}, nil
 	case d.RemoveService != "":
 		return RemoveService{name: d.RemoveService}, nil
+	case d.PutAssignment != nil:
+		return PutAssignment{assignment: d.PutAssignment.assignment()}, nil
+	case d.RemoveAssignment != "":
+		return RemoveAssignment{server: d.RemoveAssignment}, nil
 	case d.AddKey != nil:
 		return AddKey{key: d.AddKey.key()}, nil
 	case d.WithdrawKey != "":
--- a/kernel/table/parse.go
+++ b/kernel/table/parse.go
@@ -18,9 +18,10 @@
 type Declaration struct {
 	rows     []Row
 	services []Service
-	// hasServices is false for formats that cannot declare services; these
-	// leave the services as they are.
-	hasServices bool
+	assigned []Assignment
+	// rowsOnly is true for formats that can declare nothing else; these leave
+	// the rest as it is.
+	rowsOnly bool
 }
 
 // Rows returns the declared rows.
@@ -31,11 +32,10 @@
 
 // Edits returns what turns the current table into the declared one.
 func (d Declaration) Edits(current *Table) []Edit {
-	services := d.services
-	if !d.hasServices {
-		services = current.Services()
+	if d.rowsOnly {
+		return current.Difference(d.rows, current.Services(), current.Assignments())
 	}
-	return current.Difference(d.rows, services)
+	return current.Difference(d.rows, d.services, d.assigned)
 }
 
 // Parser reads a table file. A file with mistakes gives a *ProblemsError with
@@ -51,11 +51,12 @@
 }
 
 type fileDocument struct {
-	Workspaces []rowDocument     `toml:"workspace"`
-	Services   []serviceDocument `toml:"service"`
+	Workspaces []rowDocument        `toml:"workspace"`
+	Services   []serviceDocument    `toml:"service"`
+	Servers    []assignmentDocument `toml:"server"`
 }
 
-// ParseTOML reads a table of [[workspace]] and [[service]] entries.
+// ParseTOML reads a table of [[workspace]], [[service]] and [[server]] entries.
 func ParseTOML(text []byte) (Declaration, error) {
 	var document fileDocument
 	metadata, err := toml.Decode(string(text), &document)
@@ -68,7 +69,7 @@
 		line := places.lineOf(unknown[len(unknown)-1])
 		problems = append(problems, NewProblem(unknown.String(), "this key is not known").At(line, 1, ""))
 	}
-	declaration := Declaration{hasServices: true}
+	var declaration Declaration
 	seen := make(map[string]bool)
 	for index, entry := range document.Workspaces {
 		row := entry.row()
@@ -80,12 +81,27 @@
 		problems = append(problems, serviceProblems(entry)...)
 		declaration.services = append(declaration.services, entry.service())
 	}
+	for _, entry := range document.Servers {
+		problems = append(problems, serverProblems(entry)...)
+		declaration.assigned = append(declaration.assigned, entry.assignment())
+	}
 	if len(problems) > 0 {
 		return Declaration{}, NewProblemsError(problems)
 	}
 	return declaration, nil
 }
 
+func serverProblems(entry assignmentDocument) []Problem {
+	var problems []Problem
+	if entry.Server == "" {
+		problems = append(problems, NewProblem("server.name", "is missing"))
+	}
+	if len(entry.Models) == 0 {
+		problems = append(problems, NewProblem("server.models", fmt.Sprintf("is missing for server %q: list the models that it is to hold", entry.Server)))
+	}
+	return problems
+}
+
 func serviceProblems(entry serviceDocument) []Problem {
 	var problems []Problem
 	if !namePattern.MatchString(entry.Name) {
@@ -186,7 +202,7 @@
 		text := fmt.Sprintf("the first line must be %s", strings.Join(csvColumns, ","))
 		return Declaration{}, NewProblemsError([]Problem{NewProblem("", text).At(1, 1, "")})
 	}
-	var declaration Declaration
+	declaration := Declaration{rowsOnly: true}
 	var problems []Problem
 	seen := make(map[string]bool)
 	for {
--- a/kernel/table/row.go
+++ b/kernel/table/row.go
@@ -84,6 +84,28 @@
 	return found
 }
 
+// Assignment says which models a backend server is to hold.
+type Assignment struct {
+	server string
+	models []string
+}
+
+// NewAssignment returns an assignment.
+func NewAssignment(server string, models []string) Assignment {
+	return Assignment{server: server, models: models}
+}
+
+// Server returns the backend server.
+func (a Assignment) Server() string { return a.server }
+
+// Models returns the models that it is to hold.
+func (a Assignment) Models() []string { return slices.Clone(a.models) }
+
+// Equal reports whether both assignments say the same.
+func (a Assignment) Equal(other Assignment) bool {
+	return a.server == other.server && slices.Equal(a.models, other.models)
+}
+
 // Service is a plain service that the system routes to.
 type Service struct {
 	name   string
--- a/kernel/table/table.go
+++ b/kernel/table/table.go
@@ -7,8 +7,8 @@
 //
 // # Usage
 //
-//	rows, services, err := table.ParseTOML(text)
-//	edits := current.Difference(rows, services)
+//	declaration, err := table.ParseTOML(text)
+//	edits := declaration.Edits(current)
 //	next, err := current.Apply(table.NewChange(current.Revision()+1, id, author, at, edits))
 package table
 
@@ -39,6 +39,7 @@
 	revision   uint64
 	rows       map[string]Row
 	services   map[string]Service
+	assigned   map[string]Assignment
 	keys       map[string]key.Key
 	zonesOut   map[string]bool
 	serversOut map[string]bool
@@ -49,6 +50,7 @@
 	return &Table{
 		rows:       make(map[string]Row),
 		services:   make(map[string]Service),
+		assigned:   make(map[string]Assignment),
 		keys:       make(map[string]key.Key),
 		zonesOut:   make(map[string]bool),
 		serversOut: make(map[string]bool),
@@ -80,6 +82,17 @@
 	return sortedValues(t.services)
 }
 
+// Assignment returns which models a server is to hold, if that is declared.
+func (t *Table) Assignment(server string) (Assignment, bool) {
+	assignment, found := t.assigned[server]
+	return assignment, found
+}
+
+// Assignments returns all assignments in order of server.
+func (t *Table) Assignments() []Assignment {
+	return sortedValues(t.assigned)
+}
+
 // Key returns the kept part of a key.
 func (t *Table) Key(id string) (key.Key, bool) {
 	kept, found := t.keys[id]
@@ -134,10 +147,10 @@
 	return json.Marshal(t.document())
 }
 
-// Difference returns the edits that turn the rows and services of t into the
-// given ones. Keys, zones and servers are left as they are, except that the
-// keys of a removed workspace are withdrawn.
-func (t *Table) Difference(rows []Row, services []Service) []Edit {
+// Difference returns the edits that turn the rows, services and assignments of
+// t into the declared ones. Keys, zones and servers are left as they are,
+// except that the keys of a removed workspace are withdrawn.
+func (t *Table) Difference(rows []Row, services []Service, assignments []Assignment) []Edit {
 	var edits []Edit
 	wanted := make(map[string]bool)
 	for _, row := range rows {
@@ -151,7 +164,25 @@
 			edits = append(edits, RemoveRow{workspace: row.workspace})
 		}
 	}
-	return append(edits, t.serviceDifference(services)...)
+	edits = append(edits, t.serviceDifference(services)...)
+	return append(edits, t.assignmentDifference(assignments)...)
+}
+
+func (t *Table) assignmentDifference(assignments []Assignment) []Edit {
+	var edits []Edit
+	wanted := make(map[string]bool)
+	for _, assignment := range assignments {
+		wanted[assignment.server] = true
+		if current, found := t.assigned[assignment.server]; !found || !current.Equal(assignment) {
+			edits = append(edits, PutAssignment{assignment: assignment})
+		}
+	}
+	for _, assignment := range t.Assignments() {
+		if !wanted[assignment.server] {
+			edits = append(edits, RemoveAssignment{server: assignment.server})
+		}
+	}
+	return edits
 }
 
 func (t *Table) serviceDifference(services []Service) []Edit {
@@ -176,6 +207,7 @@
 		revision:   t.revision,
 		rows:       maps.Clone(t.rows),
 		services:   maps.Clone(t.services),
+		assigned:   maps.Clone(t.assigned),
 		keys:       maps.Clone(t.keys),
 		zonesOut:   maps.Clone(t.zonesOut),
 		serversOut: maps.Clone(t.serversOut),
@@ -197,6 +229,10 @@
 		t.services[e.service.name] = e.service
 	case RemoveService:
 		delete(t.services, e.name)
+	case PutAssignment:
+		t.assigned[e.assignment.server] = e.assignment
+	case RemoveAssignment:
+		delete(t.assigned, e.server)
 	case AddKey:
 		if _, found := t.rows[e.key.Workspace()]; !found {
 			return NewProblemsError([]Problem{NewProblem("key", fmt.Sprintf("workspace %q does not exist", e.key.Workspace()))})
--- a/kernel/table/table_test.go
+++ b/kernel/table/table_test.go
@@ -122,7 +122,7 @@
 
 func drawEdits(rt *rapid.T, current *table.Table) []table.Edit {
 	name := rapid.SampledFrom([]string{"a", "b", "c"})
-	switch rapid.IntRange(0, 5).Draw(rt, "kind") {
+	switch rapid.IntRange(0, 7).Draw(rt, "kind") {
 	case 0:
 		return []table.Edit{table.NewPutRow(table.NewRow(name.Draw(rt, "row"), rapid.Int64Range(1, 9).Draw(rt, "weight"), 1.5, 2, 3, []string{"m"}))}
 	case 1:
@@ -134,6 +134,10 @@
 	case 4:
 		service := table.NewService(name.Draw(rt, "service"), []table.Route{table.NewRoute("GET", "/x", true, rapid.Bool().Draw(rt, "open"))})
 		return []table.Edit{table.NewPutService(service)}
+	case 5:
+		return []table.Edit{table.NewPutAssignment(table.NewAssignment(name.Draw(rt, "server"), []string{"m", "n"}))}
+	case 6:
+		return []table.Edit{table.NewRemoveAssignment(name.Draw(rt, "server"))}
 	default:
 		workspace := name.Draw(rt, "row")
 		if _, found := current.Row(workspace); !found {
--- a/limpet/engine/chat/chat.go
+++ b/limpet/engine/chat/chat.go
@@ -157,6 +157,33 @@
 	return nil
 }
 
+// Order implements engine.Engine with POST /v1/orders; status 409 stands for
+// an old fencing number.
+func (e *Engine) Order(ctx context.Context, order engine.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.GetBody = nil
+	response, err := e.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return engine.NewStaleOrderError(order.Fence)
+	default:
+		return engine.NewRefusedError(response.StatusCode, string(order.Kind)+" of "+order.Model)
+	}
+}
+
 // requestBody returns the engine's request: the caller's own options with the
 // fields that the system decides set over them.
 func requestBody(call *wire.ModelCall) ([]byte, error) {
--- a/limpet/engine/engine.go
+++ b/limpet/engine/engine.go
@@ -43,6 +43,37 @@
 	// Release frees the memory held under a cache key. Releasing an unknown
 	// key is no error.
 	Release(ctx context.Context, cacheKey string) error
+	// Order has the engine load or release a model and returns when that is
+	// done. An engine that checks fencing numbers answers one that is lower
+	// than it has seen with a *StaleOrderError.
+	Order(ctx context.Context, order Order) error
+}
+
+// OrderKind is what an engine is to do with a model.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderLoad    OrderKind = "load"
+	OrderRelease OrderKind = "release"
+)
+
+// Order tells an engine what to hold.
+type Order struct {
+	Kind  OrderKind `json:"kind"`
+	Model string    `json:"model"`
+	Fence uint64    `json:"fence"`
+}
+
+// StaleOrderError reports an order with an old fencing number.
+type StaleOrderError struct{ fence uint64 }
+
+// NewStaleOrderError returns the error for a fencing number.
+func NewStaleOrderError(fence uint64) *StaleOrderError { return &StaleOrderError{fence: fence} }
+
+// Error names the number.
+func (e *StaleOrderError) Error() string {
+	return fmt.Sprintf("the engine has had orders from a later process than fencing number %d", e.fence)
 }
 
 // Options are what an Engine is built from.
--- a/limpet/gate/backend.go
+++ b/limpet/gate/backend.go
@@ -30,6 +30,9 @@
 	return ModelBackend{engine: model, claims: claims}
 }
 
+// Engine returns the engine.
+func (b ModelBackend) Engine() engine.Engine { return b.engine }
+
 // ServiceBackend is a plain service.
 type ServiceBackend struct {
 	service *plain.Service
--- a/limpet/gate/watch.go
+++ b/limpet/gate/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -21,6 +22,7 @@
 	failures int
 	seen     bool
 	last     engine.Load
+	models   atomic.Pointer[[]string]
 	notify   func(reachable bool)
 }
 
@@ -45,7 +47,12 @@
 }
 
 // Models returns the models of the last report.
-func (w *Watch) Models() []string { return w.last.Models }
+func (w *Watch) Models() []string {
+	if models := w.models.Load(); models != nil {
+		return *models
+	}
+	return nil
+}
 
 // count takes in whether the server answered. One that does not may be
 // starting, so it counts as cold until it has answered for the whole warm-up
@@ -68,6 +75,7 @@
 	}
 	w.seen = true
 	w.last = report
+	w.models.Store(&report.Models)
 	for _, program := range backend.claims.Reconcile(report.Pins, w.gate.now()) {
 		if err := backend.engine.Release(ctx, program); err != nil {
 			w.logger.Warn("memory not released, will try again", zap.String("program", program), zap.Error(err))
--- a/limpet/limpet.go
+++ b/limpet/limpet.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +34,7 @@
 	"limpethall.dev/limpet/call"
 	"limpethall.dev/limpet/engine"
 	"limpethall.dev/limpet/gate"
+	"limpethall.dev/limpet/order"
 	"limpethall.dev/limpet/pin"
 	"limpethall.dev/limpet/plain"
 	"limpethall.dev/limpet/port"
@@ -39,6 +42,7 @@
 
 const (
 	watchInterval = 500 * time.Millisecond
+	orderInterval = time.Second
 	leavePause    = 500 * time.Millisecond
 	drainPoll     = 20 * time.Millisecond
 	keepOnce      = 15 * time.Minute
@@ -57,6 +61,8 @@
 	registrar *host.Registrar
 	follower  *configuration.Follower
 	watch     *gate.Watch
+	orders    *order.Giver // Nil before a plain service.
+	member    host.Member
 	duties    *duty.Group
 
 	mutex     sync.Mutex
@@ -95,8 +101,11 @@
 	p.follower = configuration.NewFollower(p.store, book.Layer("configuration"))
 	p.follower.Subscribe(func(*table.Table) { p.decideRefusal() })
 	p.watch = gate.NewWatch(p.gate, book.Layer("gate"), p.setReachable)
-	member := host.NewLimpet(p.settings.Name, p.settings.Zone, p.advertised(), incarnation, p.settings.Engine.Models, p.settings.Service.Name)
-	p.registrar, err = host.NewMemberRegistrar(p.store, member, p.settings.Store.LeaseLength.Length(), book.Layer("roster"))
+	if model, isModel := backend.(gate.ModelBackend); isModel {
+		p.orders = order.New(p.orderOptions(incarnation), p.store, model.Engine(), book.Layer("placement"))
+	}
+	p.member = host.NewLimpet(p.settings.Name, p.settings.Zone, p.advertised(), incarnation, p.settings.Engine.Models, p.settings.Service.Name)
+	p.registrar, err = host.NewMemberRegistrar(p.store, p.member, p.settings.Store.LeaseLength.Length(), book.Layer("roster"))
 	if err != nil {
 		return err
 	}
@@ -123,6 +132,9 @@
 	p.duties.Go("gate", p.gate.Run)
 	p.duties.Every("watch", watchInterval, p.watch.Step)
 	p.duties.Go("registration", p.registrar.Keep)
+	if p.orders != nil {
+		p.duties.Every("orders", orderInterval, p.order)
+	}
 	p.logger.Info("limpet serves", zap.String("address", p.Address()))
 	return nil
 }
@@ -180,6 +192,39 @@
 	}
 }
 
+func (p *Process) orderOptions(incarnation uint64) order.Options {
+	return order.Options{Server: p.settings.Name, Incarnation: incarnation, Permits: p.settings.Orders.Permits, Timeout: p.settings.Orders.Timeout.Length()}
+}
+
+// order takes one step towards the assigned models and tells the roster what
+// the engine holds.
+func (p *Process) order(ctx context.Context) {
+	held := p.watch.Models()
+	if len(held) == 0 {
+		return // No report yet.
+	}
+	if !slices.Equal(held, p.member.Models()) {
+		p.announce(ctx, held)
+	}
+	if assignment, found := p.follower.Table().Assignment(p.settings.Name); found {
+		p.orders.Step(ctx, assignment, held)
+	}
+}
+
+func (p *Process) announce(ctx context.Context, held []string) {
+	member := p.member.WithModels(held)
+	value, err := json.Marshal(member)
+	if err == nil {
+		err = p.registrar.Update(ctx, value)
+	}
+	if err != nil {
+		p.logger.Warn("models not announced, will try again", zap.Error(err))
+		return
+	}
+	p.member = member
+	p.logger.Info("models announced", zap.Strings("models", held))
+}
+
 func (p *Process) advertised() string {
 	if p.settings.Advertise != "" {
 		return p.settings.Advertise
--- a/limpet/settings.go
+++ b/limpet/settings.go
@@ -21,6 +21,16 @@
 	Service      ServiceSettings   `toml:"service"`
 	Queue        QueueSettings     `toml:"queue"`
 	Window       WindowSettings    `toml:"window"`
+	Orders       OrderSettings     `toml:"orders"`
+}
+
+// OrderSettings bound the orders to model engines.
+type OrderSettings struct {
+	// Permits is how many loads from the weight store the whole fleet may run
+	// at once; it must be the same everywhere.
+	Permits int `toml:"permits"`
+	// Timeout bounds one order.
+	Timeout settings.Duration `toml:"timeout"`
 }
 
 // EngineSettings say how the model engine is reached.
@@ -62,6 +72,7 @@
 		Engine:       EngineSettings{Protocol: "chat"},
 		Service:      ServiceSettings{Timeout: settings.NewDuration(30 * time.Second)},
 		Queue:        QueueSettings{Policy: "fair", Capacity: 512, Aging: 200},
+		Orders:       OrderSettings{Permits: 2, Timeout: settings.NewDuration(5 * time.Minute)},
 		Window:       WindowSettings{Cold: 2, Warm: 16, WarmUp: settings.NewDuration(10 * time.Second)},
 	}
 }
@@ -83,6 +94,9 @@
 	if s.Window.Cold < 1 || s.Window.Warm < s.Window.Cold {
 		found = append(found, fmt.Sprintf("window: cold %d and warm %d are not allowed, use 1 or more and warm at least cold", s.Window.Cold, s.Window.Warm))
 	}
+	if s.Orders.Permits < 1 || s.Orders.Timeout.Length() < time.Second {
+		found = append(found, fmt.Sprintf("orders: permits %d and timeout %s are not allowed, use 1 or more and 1s or more", s.Orders.Permits, s.Orders.Timeout.Length()))
+	}
 	if s.MaxCalls < 1 || s.MaxCallBytes < 1 {
 		found = append(found, "maxCalls, maxCallBytes: must be 1 or more")
 	}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -91,6 +91,7 @@
 	hosts    *hostlist.List
 	engines  []*engine.Engine
 	services []*service.Service
+	weights  *engine.Weights
 	limpets  []*limpet.Process
 	owns     []limpet.Settings
 	halls    []*hall.Process
@@ -129,6 +130,7 @@
 		return err
 	}
 	seen := engine.NewSeen()
+	d.weights = &engine.Weights{}
 	for _, zone := range d.options.Zones {
 		for range d.options.EnginesPerZone {
 			if err := d.addEngine(zone, seen); err != nil {
@@ -197,6 +199,9 @@
 // Services returns the plain services.
 func (d *Deployment) Services() []*service.Service { return d.services }
 
+// Weights returns the weight store's count of loads.
+func (d *Deployment) Weights() *engine.Weights { return d.weights }
+
 // Store returns the key-value service.
 func (d *Deployment) Store() *store.Server { return d.store }
 
@@ -375,6 +380,7 @@
 	options := d.options.Engine
 	options.Models = []string{d.options.Model}
 	options.Seen = seen
+	options.Weights = d.weights
 	options.Network = d.network(fmt.Sprintf("engine-%d", len(d.engines)+1))
 	model, err := engine.New(options)
 	if err != nil {
--- a/standin/deployment/fault_test.go
+++ b/standin/deployment/fault_test.go
@@ -253,8 +253,7 @@
 					t.Errorf("out: got %d new requests, want 0", got)
 				}
 				c.back(w)
-				time.Sleep(10 * time.Second)
-				if got := w.requests(c.first, c.last) - before; got == 0 {
+				if !w.eventually(2*time.Minute, func() bool { return w.requests(c.first, c.last) > before }) {
 					t.Errorf("back: got no new requests, want some")
 				}
 				close(stop)
@@ -293,6 +292,17 @@
 	}
 }
 
+// eventually waits until the condition holds and reports whether it did. The
+// bound is far beyond what random choices need.
+func (w *world) eventually(bound time.Duration, condition func() bool) bool {
+	for began := time.Now(); time.Since(began) < bound; time.Sleep(100 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) requests(first, last int) int64 {
 	total := int64(0)
 	for _, running := range w.Engines()[first:last] {
--- a/standin/deployment/world_test.go
+++ b/standin/deployment/world_test.go
@@ -68,6 +68,12 @@
 	})
 }
 
+// inWorldNamed is inWorld as a subtest.
+func inWorldNamed(t *testing.T, name string, shape func(options *deployment.Options), test func(w *world)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { inWorld(t, shape, test) })
+}
+
 func newWorld(ctx context.Context, t *testing.T, shape func(options *deployment.Options)) *world {
 	t.Helper()
 	w := &world{t: t, ctx: ctx, network: network.New(time.Millisecond), keys: make(map[string]string)}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -49,6 +49,12 @@
 	ColdLength time.Duration
 	ColdBound  int64
 	ColdFactor float64
+	// LoadLength is how long loading a model takes, and Weights counts the loads
+	// of all engines of a deployment.
+	LoadLength time.Duration
+	Weights    *Weights
+	// Fencing makes the engine refuse orders with an old number.
+	Fencing bool
 	// ReportLag is the age of load reports.
 	ReportLag time.Duration
 	// DeathLength is how long the engine is gone after it died.
@@ -106,11 +112,16 @@
 	fault     Fault
 	stats     Stats
 	reports   []report
+	models    []string
+	fence     uint64
 }
 
 // New opens the port.
 func New(options Options) (*Engine, error) {
-	e := &Engine{options: options, address: options.Address, cache: newCache(options.CacheTokens, options.Seen)}
+	if options.Weights == nil {
+		options.Weights = &Weights{}
+	}
+	e := &Engine{options: options, models: options.Models, address: options.Address, cache: newCache(options.CacheTokens, options.Seen)}
 	return e, e.open()
 }
 
@@ -192,6 +203,7 @@
 	router.POST("/v1/chat/completions", e.complete)
 	router.GET("/v1/load", e.load)
 	router.DELETE("/v1/cache/:key", e.release)
+	router.POST("/v1/orders", e.order)
 	e.cache.clear()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -248,7 +249,7 @@
 	now := time.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.reports = append(e.reports, report{at: now, Started: e.started, Running: e.running.Load(), CacheCleared: e.cleared, Pins: e.cache.pinned(), Models: e.options.Models})
+	e.reports = append(e.reports, report{at: now, Started: e.started, Running: e.running.Load(), CacheCleared: e.cleared, Pins: e.cache.pinned(), Models: slices.Clone(e.models)})
 	chosen := e.reports[0]
 	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.options.ReportLag {
 		e.reports = e.reports[1:]
