Let only its present home end an idle program

Cause: after a hall joined, the old home of a moved program saw no calls, ended it after the idle time, released its engine memory and returned its budget to the parent while it ran on at the new home. Its copies refused the end, but what followed was done all the same. Now the old home only drops it, a home that other halls have passed by does nothing, and a refused end has no effects.

A program that moves also keeps its server: the new home reads it from the last turn.

--- a/hall/home/copies.go
+++ b/hall/home/copies.go
@@ -114,8 +114,8 @@
 	}
 	if best != here.record {
 		here.record = best
-		here.server = ""
-		here.held = 0
+		here.server = best.Last().GetEnd().GetServer()
+		here.held = h.tokens(best.Messages())
 		h.Logger.Info("program taken over", zap.String("program", ticket.Program()), zap.Uint64("turn", best.Turn()))
 	}
 }
--- a/hall/home/home.go
+++ b/hall/home/home.go
@@ -159,14 +159,15 @@
 	<-here.turn
 }
 
-// Tidy ends programs without calls for too long and drops what is over.
+// Tidy ends programs without calls for too long and drops what is over. A
+// program that has moved to another home is only dropped.
 func (h *Home) Tidy(ctx context.Context) {
 	for _, id := range h.idle() {
 		here, leave, err := h.enter(ctx, id)
 		if err != nil {
 			return
 		}
-		if here.record != nil && !here.record.Ended() {
+		if here.record != nil && !here.record.Ended() && h.IsHome(id) && !h.movedOn(ctx, here) {
 			h.Logger.Info("program ended by idle time", zap.String("program", id))
 			h.end(ctx, here)
 		}
@@ -180,6 +181,17 @@
 	h.Archive.Expire(h.Now(), 2*h.options.Idle)
 }
 
+// movedOn reports whether another hall has run turns of the program that this
+// one lacks.
+func (h *Home) movedOn(ctx context.Context, here *resident) bool {
+	for _, found := range h.fetchAll(ctx, here.record.ID()) {
+		if found.Version() > here.record.Version() {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *Home) idle() []string {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/hall/home/lifetime.go
+++ b/hall/home/lifetime.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/program"
 	"limpethall.dev/kernel/wire"
 )
@@ -68,10 +69,14 @@
 		return nil, err
 	}
 	defer leave()
-	if !here.record.Ended() {
+	record := here.record
+	if !record.Ended() {
 		h.end(context.WithoutCancel(ctx), here)
 	}
-	return h.state(here.record), nil
+	if here.record == nil {
+		return nil, failure.New(failure.CodeConflict, failure.NotRun, "program %s was moved to another home: end it again", record.ID())
+	}
+	return h.state(record), nil
 }
 
 // ReturnBudget takes back what was set aside for a child that has ended.
@@ -137,7 +142,9 @@
 	record := here.record
 	record.End()
 	if _, err := h.replicate(ctx, record, record.Turn()); err != nil {
-		h.Logger.Warn("end of the program not kept everywhere", zap.String("program", record.ID()), zap.Error(err))
+		h.Logger.Warn("program lives on at another home", zap.String("program", record.ID()), zap.Error(err))
+		here.record = nil
+		return
 	}
 	go h.release(record.ID(), record.Servers())
 	if record.Parent() != "" {
--- a/standin/deployment/program_test.go
+++ b/standin/deployment/program_test.go
@@ -257,6 +257,41 @@
 	}
 }
 
+// TestProgramsThatMovedAreNotEndedByTheirOldHome adds a hall that becomes the
+// home of some programs and keeps all of them busy past the idle time.
+func TestProgramsThatMovedAreNotEndedByTheirOldHome(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		client := w.client("kovacs")
+		var children []*caller.Program
+		for range 12 {
+			parent := w.open(client, 0)
+			w.turn(parent, "plan answer=5", false)
+			child, err := parent.Child(w.ctx, 2000)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.turn(child, "work answer=5", false)
+			children = append(children, child)
+		}
+		if err := w.AddHall("hu-central-a"); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.WaitReady(w.ctx); err != nil {
+			t.Fatal(err)
+		}
+		for range 10 {
+			time.Sleep(15 * time.Second)
+			held := w.pinned()
+			for _, child := range children {
+				if !slices.Contains(held, child.ID()) {
+					t.Errorf("memory of %s, which is in use: got released, want held", child.ID())
+				}
+				w.turn(child, "more answer=5", false)
+			}
+		}
+	})
+}
+
 func (w *world) pinned() []string {
 	var pinned []string
 	for _, running := range w.Engines() {
