Keep turns in the key-value service where too few halls can hold them

With one other hall only, a turn had one copy and an error line. Seen: two halls in one zone, both killed and started again, the program goes on; nothing is left in the store after its end.

--- a/hall/hall.go
+++ b/hall/hall.go
@@ -241,7 +241,7 @@
 	return home.New(options, home.Parts{
 		Book: p.book, Roster: p.roster, Registrar: p.registrar, Follower: p.follower, Fleet: p.fleet,
 		Dispatcher: dispatch.New(p.fleet, p.client, policy, p.logs.Layer("route"), time.Now),
-		Prefixes:   prefixes, Client: p.client, Store: p.store, Suspects: p.suspects, Archive: archive,
+		Prefixes:   prefixes, Client: p.client, Vault: home.NewVault(p.store), Suspects: p.suspects, Archive: archive,
 		Logger: p.logs.Layer("home"), Now: time.Now,
 	}), nil
 }
--- a/hall/home/copies.go
+++ b/hall/home/copies.go
@@ -11,6 +11,7 @@
 
 	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/host"
+	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/program"
 	"limpethall.dev/kernel/wire"
 )
@@ -21,9 +22,11 @@
 )
 
 // replicate keeps the record's turns from the given one on at other halls,
-// those in other zones first, until enough have confirmed. It returns how many
-// did. An error means that another home has finished the same turn.
-func (h *Home) replicate(ctx context.Context, record *program.Record, from uint64) (int64, error) {
+// those in other zones first, until enough have confirmed, and in the store
+// where that can't be had. It returns how many hold them. An error means that
+// another home has finished the same turn.
+func (h *Home) replicate(ctx context.Context, here *resident, from uint64) (int64, error) {
+	record := here.record
 	targets := h.copyTargets(record.ID())
 	copies := int64(0)
 	for len(targets) > 0 && copies < wantedCopies {
@@ -35,16 +38,28 @@
 			case wire.StoreRecordReply_RESULT_STORED:
 				copies++
 			case wire.StoreRecordReply_RESULT_REFUSED:
-				return copies, failure.New(failure.CodeConflict, failure.Unknown, "program %s was moved to another home during the call: send the same request again", record.ID())
+				return copies, movedDuringCall(record.ID())
 			}
 		}
 	}
 	if copies < wantedCopies {
-		h.Logger.Error("too few copies", zap.String("program", record.ID()), zap.Uint64("turn", record.Turn()), zap.Int64("copies", copies))
+		err := h.Vault.Keep(ctx, record)
+		if err == nil {
+			here.vaulted = true
+			return copies + 1, nil
+		}
+		if platform.IsConflict(err) {
+			return copies, movedDuringCall(record.ID())
+		}
+		h.Logger.Error("too few copies", zap.Error(err), zap.String("program", record.ID()), zap.Uint64("turn", record.Turn()), zap.Int64("copies", copies))
 	}
 	return copies, nil
 }
 
+func movedDuringCall(id string) *failure.Error {
+	return failure.New(failure.CodeConflict, failure.Unknown, "program %s was moved to another home during the call: send the same request again", id)
+}
+
 // unreached stands for a hall that did not answer.
 const unreached = wire.StoreRecordReply_Result(-1)
 
@@ -100,16 +115,11 @@
 // collect asks all halls for their copy and installs the best one that agrees
 // with the ticket, if it goes further than the record held here.
 func (h *Home) collect(ctx context.Context, here *resident, ticket program.Ticket) {
-	best := here.record
-	for _, found := range h.fetchAll(ctx, ticket.Program()) {
-		if found.Workspace() != ticket.Workspace() {
-			continue
-		}
-		if position := found.Locate(ticket); position == program.PositionAhead || position == program.PositionForeign {
-			continue
-		}
-		if best == nil || found.Turn() > best.Turn() || (found.Turn() == best.Turn() && found.Version() > best.Version()) {
-			best = found
+	best := better(here.record, h.fetchAll(ctx, ticket.Program()), ticket)
+	if ticket.Turn() > 0 && (best == nil || best.Turn() < ticket.Turn()) {
+		if kept := h.Vault.Fetch(ctx, ticket.Program()); kept != nil {
+			here.vaulted = true
+			best = better(best, []*program.Record{kept}, ticket)
 		}
 	}
 	if best != here.record {
@@ -120,6 +130,24 @@
 	}
 }
 
+// better returns the record that goes furthest among those that agree with the
+// ticket, or the present one.
+func better(present *program.Record, found []*program.Record, ticket program.Ticket) *program.Record {
+	best := present
+	for _, candidate := range found {
+		if candidate.Workspace() != ticket.Workspace() {
+			continue
+		}
+		if position := candidate.Locate(ticket); position == program.PositionAhead || position == program.PositionForeign {
+			continue
+		}
+		if best == nil || candidate.Turn() > best.Turn() || (candidate.Turn() == best.Turn() && candidate.Version() > best.Version()) {
+			best = candidate
+		}
+	}
+	return best
+}
+
 func (h *Home) fetchAll(ctx context.Context, id string) []*program.Record {
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
--- a/hall/home/home.go
+++ b/hall/home/home.go
@@ -26,7 +26,6 @@
 	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/peer"
-	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/program"
 	"limpethall.dev/kernel/secret"
 )
@@ -67,7 +66,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Prefixes   *dispatch.Prefixes
 	Client     *peer.Client
-	Store      platform.Store
+	Vault      *Vault
 	Suspects   *Suspects
 	Archive    *program.Archive
 	Logger     *zap.Logger
@@ -95,11 +94,12 @@
 	waiting int // Guarded by the home's mutex.
 	used    time.Time
 
-	record *program.Record
-	halls  uint64 // Digest of the halls when the copies were last collected.
-	sent   string // Identifier of the newest non-idempotent call that may have left this hall.
-	server string
-	held   int64
+	record  *program.Record
+	halls   uint64 // Digest of the halls when the copies were last collected.
+	sent    string // Identifier of the newest non-idempotent call that may have left this hall.
+	vaulted bool   // The store holds a record of the program.
+	server  string
+	held    int64
 }
 
 // Len returns how many programs are held.
--- a/hall/home/lifetime.go
+++ b/hall/home/lifetime.go
@@ -44,7 +44,7 @@
 	if err := here.record.Lend(child.GetProgramId(), request.GetChildBudget()); err != nil {
 		return nil, err
 	}
-	if _, err := h.replicate(ctx, here.record, here.record.Turn()); err != nil {
+	if _, err := h.replicate(ctx, here, here.record.Turn()); err != nil {
 		here.record = nil
 		return nil, err
 	}
@@ -92,7 +92,7 @@
 	if !here.record.Return(request.GetChildId(), request.GetLent(), request.GetSpent()) {
 		return nil
 	}
-	_, err = h.replicate(ctx, here.record, here.record.Turn())
+	_, err = h.replicate(ctx, here, here.record.Turn())
 	return err
 }
 
@@ -141,17 +141,27 @@
 func (h *Home) end(ctx context.Context, here *resident) {
 	record := here.record
 	record.End()
-	if _, err := h.replicate(ctx, record, record.Turn()); err != nil {
+	if _, err := h.replicate(ctx, here, record.Turn()); err != nil {
 		h.Logger.Warn("program lives on at another home", zap.String("program", record.ID()), zap.Error(err))
 		here.record = nil
 		return
 	}
+	if here.vaulted {
+		go h.dropFromVault(record.ID())
+	}
 	go h.release(record.ID(), record.Servers())
 	if record.Parent() != "" {
 		go h.returnBudget(record.ID(), record.Parent(), record.Workspace(), record.Budget(), record.Spent())
 	}
 }
 
+// dropFromVault removes an ended program from the store.
+func (h *Home) dropFromVault(id string) {
+	if err := h.Vault.Drop(context.Background(), id); err != nil {
+		h.Logger.Warn("ended program stays in the store", zap.String("program", id), zap.Error(err))
+	}
+}
+
 // release frees the engine memory of a program that is over. A server that
 // can't be reached frees it when the claim runs out.
 func (h *Home) release(id string, servers []string) {
--- a/hall/home/turn.go
+++ b/hall/home/turn.go
@@ -134,7 +134,7 @@
 // finish appends the turn, keeps its copies and sends the end.
 func (h *Home) finish(ctx context.Context, here *resident, turn *wire.TurnRecord, send Send) error {
 	here.record.Append(turn, here.server)
-	copies, err := h.replicate(ctx, here.record, here.record.Turn())
+	copies, err := h.replicate(ctx, here, here.record.Turn())
 	if err != nil {
 		// Another home has finished this turn; its copies win.
 		here.record = nil
--- a/standin/deployment/program_test.go
+++ b/standin/deployment/program_test.go
@@ -52,6 +52,42 @@
 	}
 }
 
+// TestHistoryOutlivesAllHalls runs too few halls for two copies: the store
+// keeps the turns, and gives up those of ended programs.
+func TestHistoryOutlivesAllHalls(t *testing.T) {
+	few := func(options *deployment.Options) {
+		options.Zones = []string{"hu-central-a"}
+		options.HallsPerZone = 2
+	}
+	inWorld(t, few, func(w *world) {
+		program := w.open(w.client("kovacs"), 0)
+		for range 3 {
+			if got, want := w.turn(program, "before answer=8", false).Copies(), int64(2); got != want {
+				t.Errorf("copies with one other hall and the store: got %d, want %d", got, want)
+			}
+		}
+		w.KillHall(0)
+		w.KillHall(1)
+		for index := range 2 {
+			if err := w.StartHall(index, "hu-central-a"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := w.WaitReady(w.ctx); err != nil {
+			t.Fatal(err)
+		}
+		w.turn(program, "after answer=8", false)
+		if err := program.End(w.ctx); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		listing, err := w.Store().Memory().List(w.ctx, "programs/")
+		if err != nil || len(listing.Entries) > 0 {
+			t.Errorf("left in the store: got %d records, %v, want none", len(listing.Entries), err)
+		}
+	})
+}
+
 func TestHistorySurvivesTwoDeathsInARow(t *testing.T) {
 	inWorld(t, nil, func(w *world) {
 		program := w.open(w.client("kovacs"), 0)
