Keep a full queue open for the workspaces that are not filling it

One workspace could fill the whole queue of a server, so that others were refused. Now the newest call of the workspace that waits with the most for its weight makes room.

--- a/kernel/queue/arrival.go
+++ b/kernel/queue/arrival.go
@@ -18,13 +18,13 @@
 }
 
 // Push implements Queue.
-func (a *Arrival) Push(item Item) bool {
+func (a *Arrival) Push(item Item) (Item, bool) {
 	if len(a.items) >= a.options.Capacity {
-		return false
+		return item, false
 	}
 	a.items = append(a.items, item)
 	a.cost += item.cost
-	return true
+	return Item{}, true
 }
 
 // Pop implements Queue.
--- a/kernel/queue/fair.go
+++ b/kernel/queue/fair.go
@@ -33,11 +33,48 @@
 	return &Fair{options: options, lines: make(map[string]*line)}
 }
 
-// Push implements Queue.
-func (f *Fair) Push(item Item) bool {
-	if f.length >= f.options.Capacity {
-		return false
+// Push implements Queue. In a full queue the newest item of the workspace that
+// waits with the most for its weight makes room, so that one workspace can't
+// keep the others out.
+func (f *Fair) Push(item Item) (Item, bool) {
+	if f.length < f.options.Capacity {
+		f.append(item)
+		return Item{}, true
 	}
+	longest, found := f.longest()
+	own := f.line(item.workspace)
+	if !found || crowd(len(own.items)+1, item.weight) >= crowd(len(longest.items), longest.weight()) {
+		return item, false
+	}
+	last := len(longest.items) - 1
+	refused := longest.items[last]
+	f.take(longest, last)
+	f.append(item)
+	return refused, false
+}
+
+// crowd is how many items wait for each unit of weight.
+func crowd(items int, weight int64) float64 {
+	return float64(items) / float64(weight)
+}
+
+// longest returns the workspace that waits with the most for its weight.
+func (f *Fair) longest() (*line, bool) {
+	var longest *line
+	for _, waiting := range f.lines {
+		if len(waiting.items) == 0 {
+			continue
+		}
+		if longest == nil || crowd(len(waiting.items), waiting.weight()) > crowd(len(longest.items), longest.weight()) {
+			longest = waiting
+		}
+	}
+	return longest, longest != nil
+}
+
+func (l *line) weight() int64 { return l.items[0].weight }
+
+func (f *Fair) append(item Item) {
 	waiting := f.line(item.workspace)
 	if len(waiting.items) == 0 {
 		waiting.virtual = max(waiting.virtual, f.virtual)
@@ -45,7 +82,6 @@
 	waiting.items = append(waiting.items, item)
 	f.length++
 	f.cost += item.cost
-	return true
 }
 
 // Pop implements Queue.
--- a/kernel/queue/queue.go
+++ b/kernel/queue/queue.go
@@ -9,7 +9,7 @@
 //
 //	construct, err := queue.Policies.Find("fair")
 //	waiting := construct(queue.Options{Capacity: 512, Aging: 200})
-//	if !waiting.Push(item) { /* full: refuse as not run */ }
+//	if refused, ok := waiting.Push(item); !ok { /* tell refused: not run */ }
 //	next, ok := waiting.Pop(now)
 //	waiting.Charge(next.Workspace(), next.Weight(), actual-next.Cost())
 //
@@ -59,8 +59,9 @@
 
 // Queue is a bounded waiting line.
 type Queue interface {
-	// Push appends the item and reports whether there was room.
-	Push(item Item) bool
+	// Push appends the item. If there is no room, it returns the item that is
+	// refused, which may be another one that waited, and false.
+	Push(item Item) (refused Item, ok bool)
 	// Pop removes the item to run next.
 	Pop(now time.Time) (Item, bool)
 	// Remove takes out an item that is no longer wanted.
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -100,12 +100,11 @@
 
 // Process are the settings that every long-lived process has.
 type Process struct {
-	Name       string       `toml:"name"`
-	Zone       string       `toml:"zone"`
-	DataFolder string       `toml:"dataFolder"`
-	Secrets    []string     `toml:"secrets"`
-	Store      Store        `toml:"store"`
-	Log        logs.Options `toml:"log"`
+	Name    string       `toml:"name"`
+	Zone    string       `toml:"zone"`
+	Secrets []string     `toml:"secrets"`
+	Store   Store        `toml:"store"`
+	Log     logs.Options `toml:"log"`
 }
 
 // Problems returns what is wrong.
--- a/limpet/gate/event.go
+++ b/limpet/gate/event.go
@@ -56,8 +56,10 @@
 	dispatch := arrived.Dispatch()
 	item := queue.NewItem(arrived.ID(), dispatch.GetWorkspace(), dispatch.GetProgramId(),
 		dispatch.GetWeight(), g.estimate(dispatch), dispatch.GetServiceSoFar(), arrived.Began())
-	if !g.waiting.Push(item) {
-		g.refuseFull(arrived)
+	if refused, ok := g.waiting.Push(item); !ok {
+		if known, found := g.calls.Find(refused.ID()); found {
+			g.refuseFull(known)
+		}
 	}
 }
 
