Wait in tests for connections on which no request ever came

A client that dials twice leaves one connection unused; the server closes it after three minutes, the tests looked after two.

--- a/standin/deployment/world_test.go
+++ b/standin/deployment/world_test.go
@@ -22,6 +22,10 @@
 	"limpethall.dev/standin/network"
 )
 
+// idleTime is longer than any server keeps a connection on which no request
+// ever came, which is the longest.
+const idleTime = 5 * time.Minute
+
 // world is a deployment on a network in memory, under a fake clock.
 type world struct {
 	t       *testing.T
@@ -127,7 +131,7 @@
 	for _, client := range w.clients {
 		client.Close()
 	}
-	time.Sleep(2 * time.Minute) // Idle connections of the stand-ins run out.
+	time.Sleep(idleTime)
 }
 
 // client returns a client of a workspace that uses the halls in turn.
--- a/standin/engine/contract_test.go
+++ b/standin/engine/contract_test.go
@@ -68,7 +68,7 @@
 					}
 					c.run(t, model, standin, wires)
 					standin.Close()
-					time.Sleep(3 * time.Minute)
+					time.Sleep(5 * time.Minute)
 				})
 			})
 		}
--- a/standin/hostlist/contract_test.go
+++ b/standin/hostlist/contract_test.go
@@ -44,7 +44,7 @@
 					t.Errorf("list that can't be reached: got no error, want one")
 				}
 				list.Close()
-				time.Sleep(3 * time.Minute)
+				time.Sleep(5 * time.Minute)
 			})
 		})
 	}
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -27,7 +27,7 @@
 		t.Cleanup(func() {
 			client.Close()
 			server.Close()
-			time.Sleep(3 * time.Minute) // The server's idle connections run out.
+			time.Sleep(5 * time.Minute) // The server's idle connections run out.
 		})
 		return client, server.Memory()
 	})
