Bound the wait for the first request of a connection

The HTTP library bounds the wait for every later request, but not for the first: a connection on which nothing is sent stayed open for good. It now has the same 60 s.

--- a/kernel/listener/watched.go
+++ b/kernel/listener/watched.go
@@ -36,6 +36,8 @@
 
 func newWatchedConn(raw net.Conn) *watchedConn {
 	near, far := net.Pipe()
+	// The HTTP library bounds the wait for every request but the first one.
+	_ = near.SetReadDeadline(time.Now().Add(idleTimeout))
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		_, _ = io.Copy(far, raw)
