--- a/hall/home/service.go
+++ b/hall/home/service.go
@@ -127,7 +127,7 @@
 		return dispatch.Result{}, &placedError{server: limpet.Name(), failure: failure.New(failure.CodeStreamBroken, failure.Unknown, "server %s can't be asked about the call", limpet.Name())}
 	}
 	if settled {
-		return dispatch.Result{}, &placedError{server: limpet.Name(), failure: failure.New(failure.CodeCallRefused, failure.NotRun, "the program's home can't be reached; the call did not run")}
+		return dispatch.Result{}, &placedError{server: limpet.Name(), failure: failure.New(failure.CodeCallRefused, failure.NotRun, "the program's home can't be reached; the call did not run").WithRetryAfter(retryHint)}
 	}
 	result, err := h.Dispatcher.Attach(ctx, limpet, call, answer.add)
 	if err != nil {
