--- a/hall/dispatch/dispatch.go
+++ b/hall/dispatch/dispatch.go
@@ -219,6 +219,9 @@
 			return nil, err
 		}
 		end, over, err := r.take(frame)
+		if over {
+			stream.Finish()
+		}
 		if over || err != nil {
 			return end, err
 		}
@@ -231,8 +234,6 @@
 		return nil, false, nil
 	}
 	switch body := frame.GetBody().(type) {
-	case *wire.Frame_Accepted:
-		return nil, false, nil
 	case *wire.Frame_Failure:
 		return nil, true, failure.FromWire(body.Failure)
 	case *wire.Frame_End:
--- a/hall/entry/program.go
+++ b/hall/entry/program.go
@@ -16,9 +16,6 @@
 	"limpethall.dev/kernel/wire"
 )
 
-// maxHomes is how many halls are tried as the home of a program.
-const maxHomes = 3
-
 // openProgram answers POST /v1/programs.
 func (e *Entry) openProgram(_ context.Context, c *app.RequestContext, r request) error {
 	var body programRequest
@@ -103,8 +100,7 @@
 
 // homes returns the halls to ask for a program, its home first.
 func (e *Entry) homes(programID string) []host.Member {
-	ranked := home.Ranked(programID, e.Roster.Roster())
-	return ranked[:min(maxHomes, len(ranked))]
+	return home.Candidates(programID, e.Roster.Roster())
 }
 
 func unreachableHome(programID string) *failure.Error {
@@ -176,12 +172,14 @@
 			continue
 		}
 		if failed := frame.GetFailure(); failed != nil {
+			stream.Finish()
 			return failure.FromWire(failed)
 		}
 		if err := send(frame); err != nil {
 			return err
 		}
 		if frame.GetTurnEnd() != nil {
+			stream.Finish()
 			return nil
 		}
 	}
--- a/hall/home/copies.go
+++ b/hall/home/copies.go
@@ -99,7 +99,7 @@
 func (h *Home) copyTargets(id string) []host.Member {
 	used := map[string]bool{h.options.Identity.Zone: true}
 	var spread, rest []host.Member
-	for _, hall := range Ranked(id, h.Roster.Roster()) {
+	for _, hall := range host.Rank(id, h.Roster.Roster().Halls()) {
 		switch {
 		case hall.Name() == h.options.Identity.Name:
 		case used[hall.Zone()]:
--- a/hall/home/home.go
+++ b/hall/home/home.go
@@ -35,6 +35,8 @@
 	maxWaiting = 8
 	// wantedCopies is on how many other halls a turn is kept.
 	wantedCopies = 2
+	// maxHomes is how many halls are tried as the home of a program.
+	maxHomes = 3
 	// maxExcluded bounds the servers that a ticket passes over.
 	maxExcluded = 32
 )
@@ -109,15 +111,15 @@
 	return len(h.programs)
 }
 
-// Ranked returns the halls in the order in which they are a program's home.
-func Ranked(id string, roster *host.Roster) []host.Member {
-	return host.Rank(id, roster.Halls())
+// Candidates returns the halls that may be a program's home, its home first.
+func Candidates(id string, roster *host.Roster) []host.Member {
+	return host.Top(id, roster.Halls(), maxHomes)
 }
 
 // IsHome reports whether this hall is the program's home by its own roster.
 func (h *Home) IsHome(id string) bool {
-	ranked := Ranked(id, h.Roster.Roster())
-	return len(ranked) > 0 && ranked[0].Name() == h.options.Identity.Name
+	first, found := host.First(id, h.Roster.Roster().Halls())
+	return found && first.Name() == h.options.Identity.Name
 }
 
 // enter waits for the program's turn and returns it with the function that
--- a/hall/home/keyed.go
+++ b/hall/home/keyed.go
@@ -90,10 +90,7 @@
 			limpets = append(limpets, limpet)
 		}
 	}
-	if len(limpets) == 0 {
-		return host.Member{}, false
-	}
-	return host.Rank(callID, limpets)[0], true
+	return host.First(callID, limpets)
 }
 
 // runKeyed runs a call that any hall may have run before. It asks every
@@ -140,7 +137,9 @@
 		}
 	}
 	for _, roster := range h.Roster.Placements(service) {
-		add(host.Rank(call.GetCallId(), roster.ServiceLimpets(service))[0])
+		if limpet, found := host.First(call.GetCallId(), roster.ServiceLimpets(service)); found {
+			add(limpet)
+		}
 	}
 	for _, limpet := range h.Roster.Roster().ServiceLimpets(service) {
 		add(limpet)
--- a/hall/home/lifetime.go
+++ b/hall/home/lifetime.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/failure"
+	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/program"
 	"limpethall.dev/kernel/wire"
 )
@@ -184,15 +185,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	request := &wire.ReturnBudgetRequest{ParentId: parent, ChildId: child, Workspace: workspace, Lent: lent, Spent: spent}
-	ranked := Ranked(parent, h.Roster.Roster())
-	if len(ranked) == 0 {
+	home, found := host.First(parent, h.Roster.Roster().Halls())
+	if !found {
 		return
 	}
 	var err error
-	if ranked[0].Name() == h.options.Identity.Name {
+	if home.Name() == h.options.Identity.Name {
 		err = h.ReturnBudget(ctx, request)
 	} else {
-		_, err = h.Client.Hall(ranked[0].Address()).ReturnBudget(ctx, request)
+		_, err = h.Client.Hall(home.Address()).ReturnBudget(ctx, request)
 	}
 	if err != nil {
 		h.Logger.Warn("budget not returned to the parent", zap.String("program", parent), zap.String("child", child), zap.Error(err))
--- a/hall/home/service.go
+++ b/hall/home/service.go
@@ -146,10 +146,7 @@
 	limpets := slices.DeleteFunc(roster.ServiceLimpets(call.GetService().GetService()), func(limpet host.Member) bool {
 		return slices.Contains(placement.Excluded(), limpet.Name())
 	})
-	if len(limpets) == 0 {
-		return host.Member{}, false
-	}
-	return host.Rank(call.GetCallId(), limpets)[0], true
+	return host.First(call.GetCallId(), limpets)
 }
 
 // judge decides what a failed non-idempotent call means for the program. It
--- a/hallctl/operator/status.go
+++ b/hallctl/operator/status.go
@@ -170,17 +170,17 @@
 	if err != nil {
 		return err
 	}
-	ranked := host.Rank(id, roster.Halls())
-	if len(ranked) == 0 {
+	home, found := host.First(id, roster.Halls())
+	if !found {
 		return fmt.Errorf("no hall is registered")
 	}
-	found, err := step(t.client.Hall(ranked[0].Address()), ctx, &wire.ProgramRequest{ProgramId: id})
+	described, err := step(t.client.Hall(home.Address()), ctx, &wire.ProgramRequest{ProgramId: id})
 	if err != nil {
 		return err
 	}
 	result := programResult{
-		Program: id, Workspace: found.GetWorkspace(), Turn: found.GetTurn(), Budget: found.GetBudget(),
-		Spent: found.GetSpent(), Ended: found.GetEnded(), Home: ranked[0].Name(),
+		Program: id, Workspace: described.GetWorkspace(), Turn: described.GetTurn(), Budget: described.GetBudget(),
+		Spent: described.GetSpent(), Ended: described.GetEnded(), Home: home.Name(),
 	}
 	return t.print(result, "program %s\nworkspace %s\nhome %s\nturns %d\nspent %d of %d tokens\nended %v\n",
 		id, result.Workspace, result.Home, result.Turn, result.Spent, result.Budget, result.Ended)
--- a/kernel/host/roster.go
+++ b/kernel/host/roster.go
@@ -16,6 +16,8 @@
 package host
 
 import (
+	"cmp"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -42,17 +44,18 @@
 	incarnation uint64
 	models      []string
 	service     string
+	digest      uint64 // Of the name.
 }
 
 // NewHall returns a member for a hall; address is where peers reach it.
 func NewHall(name, zone, address string, incarnation uint64) Member {
-	return Member{kind: KindHall, name: name, zone: zone, address: address, incarnation: incarnation}
+	return Member{kind: KindHall, name: name, zone: zone, address: address, incarnation: incarnation, digest: xxhash.Sum64String(name)}
 }
 
 // NewLimpet returns a member for a limpet before a model engine (models) or a
 // plain service (service).
 func NewLimpet(name, zone, address string, incarnation uint64, models []string, service string) Member {
-	return Member{kind: KindLimpet, name: name, zone: zone, address: address, incarnation: incarnation, models: models, service: service}
+	return Member{kind: KindLimpet, name: name, zone: zone, address: address, incarnation: incarnation, models: models, service: service, digest: xxhash.Sum64String(name)}
 }
 
 // Kind returns what the member is.
@@ -114,6 +117,7 @@
 	*m = Member{
 		kind: document.Kind, name: document.Name, zone: document.Zone, address: document.Address,
 		incarnation: document.Incarnation, models: document.Models, service: document.Service,
+		digest: xxhash.Sum64String(document.Name),
 	}
 	return nil
 }
@@ -217,27 +221,53 @@
 // has the same members gets the same order, and a member that comes or goes
 // moves only its own keys.
 func Rank(key string, members []Member) []Member {
+	return Top(key, members, len(members))
+}
+
+// First returns the member that Rank puts first, and false if there is none.
+func First(key string, members []Member) (Member, bool) {
+	if len(members) == 0 {
+		return Member{}, false
+	}
+	digest := xxhash.Sum64String(key)
+	best := 0
+	highest := members[0].score(digest)
+	for index := 1; index < len(members); index++ {
+		if score := members[index].score(digest); score > highest || (score == highest && members[index].name < members[best].name) {
+			best, highest = index, score
+		}
+	}
+	return members[best], true
+}
+
+// Top returns the first n members in the order of Rank.
+func Top(key string, members []Member, n int) []Member {
 	type scored struct {
-		member Member
-		score  uint64
+		score uint64
+		index int
 	}
+	digest := xxhash.Sum64String(key)
 	scores := make([]scored, 0, len(members))
-	for _, member := range members {
-		scores = append(scores, scored{member: member, score: xxhash.Sum64String(member.name + "\x00" + key)})
+	for index := range members {
+		scores = append(scores, scored{score: members[index].score(digest), index: index})
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		default:
-			return strings.Compare(a.member.name, b.member.name)
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
 		}
+		return strings.Compare(members[a.index].name, members[b.index].name)
 	})
-	ranked := make([]Member, 0, len(scores))
-	for _, entry := range scores {
-		ranked = append(ranked, entry.member)
+	ranked := make([]Member, 0, n)
+	for _, entry := range scores[:min(n, len(scores))] {
+		ranked = append(ranked, members[entry.index])
 	}
 	return ranked
 }
+
+// score is the member's weight for a key, given the key's digest.
+func (m Member) score(key uint64) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], m.digest)
+	binary.LittleEndian.PutUint64(pair[8:], key)
+	return xxhash.Sum64(pair[:])
+}
--- a/kernel/peer/stream.go
+++ b/kernel/peer/stream.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// Finish ends a stream whose last frame was read. It waits for the end mark
+// that follows, so that the connection can be used again.
+func (s *Stream) Finish() {
+	_, _ = s.reader.Read()
+	s.Close()
+}
+
 // Close ends the stream at once.
 func (s *Stream) Close() {
 	s.watchdog.Stop()
--- a/limpet/engine/chat/chat.go
+++ b/limpet/engine/chat/chat.go
@@ -33,6 +33,7 @@
 	loadTimeout  = time.Second
 	maxErrorBody = 4096
 	maxLine      = 4 << 20
+	maxTail      = 1024
 	requestID    = "X-Request-Id"
 )
 
@@ -241,6 +242,7 @@
 			continue
 		}
 		if bytes.Equal(data, []byte("[DONE]")) {
+			_, _ = io.Copy(io.Discard, io.LimitReader(body, maxTail)) // So that the connection can be used again.
 			return a.finish()
 		}
 		if err := a.take(data); err != nil {
--- a/limpet/port/port.go
+++ b/limpet/port/port.go
@@ -57,7 +57,6 @@
 }
 
 func (p *Port) serveCall(ctx context.Context, dispatch *wire.Dispatch, sender *peer.Sender) {
-	accepted := &wire.Accepted{Server: p.identity.Name, Zone: p.identity.Zone, Incarnation: p.identity.Incarnation}
 	submitted, err := p.gate.Submit(dispatch)
 	if err != nil {
 		frame := call.FailureFrame(err)
@@ -67,9 +66,6 @@
 	}
 	detach := submitted.Attach()
 	defer func() { detach(p.now()) }()
-	if sender.Send(&wire.Frame{CallId: submitted.ID(), Body: &wire.Frame_Accepted{Accepted: accepted}}) != nil {
-		return
-	}
 	p.forward(ctx, submitted, dispatch.GetOffset(), sender)
 }
 
