--- a/kernel/limit/bucket_test.go
+++ b/kernel/limit/bucket_test.go
@@ -93,7 +93,36 @@
 	return time.Duration(rapid.SampledFrom([]int{0, 1, 5, 20, 60, 300, 700}).Draw(rt, name)) * time.Millisecond
 }
 
+// TestLentCapacityStaysClosed lends, lets the lender refill, and spends all.
+func TestLentCapacityStaysClosed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	lender, borrower := limit.NewBucket(now), limit.NewBucket(now)
+	for _, bucket := range []*limit.Bucket{lender, borrower} {
+		bucket.Configure(now, 1000, 20)
+		bucket.SetShare(now, 0.5)
+	}
+	now = now.Add(2 * time.Second)
+	borrower.Accept(now, now, "lender", lender.Lend(now, 10, nil))
+	now = now.Add(limit.LoanLength / 2)
+	spent := 0
+	for _, bucket := range []*limit.Bucket{lender, borrower} {
+		for bucket.Take(now) {
+			spent++
+		}
+	}
+	if got, most := spent, 20; got > most {
+		t.Errorf("spent at once by lender and borrower: got %d, want at most the burst of %d", got, most)
+	}
+}
+
 func TestNoMoreThanTheRowOverAllHalls(t *testing.T) {
+	for range 10 {
+		checkRow(t)
+	}
+}
+
+func checkRow(t *testing.T) {
+	t.Helper()
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newHalls(rt)
 		rt.Repeat(map[string]func(*rapid.T){
--- a/standin/deployment/fault_test.go
+++ b/standin/deployment/fault_test.go
@@ -292,6 +292,19 @@
 	}
 }
 
+// keepStreaming runs programs of one turn that takes longer than any delay of a
+// stopping process.
+func (w *world) keepStreaming(client *caller.Client, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+			w.turn(w.open(client, 0), "long answer=150", true)
+		}
+	}
+}
+
 // eventually waits until the condition holds and reports whether it did. The
 // bound is far beyond what random choices need.
 func (w *world) eventually(bound time.Duration, condition func() bool) bool {
@@ -320,6 +333,8 @@
 			client := w.readyClient("kovacs")
 			wait.Go(func() { w.keepBusy(client, stop) })
 		}
+		long := w.readyClient("falares")
+		wait.Go(func() { w.keepStreaming(long, stop) })
 		time.Sleep(2 * time.Second)
 		zones := []string{"hu-central-a", "hu-central-a", "hu-central-b", "hu-central-b"}
 		for index, zone := range zones {
