--- a/standin/deployment/fault_test.go
+++ b/standin/deployment/fault_test.go
@@ -333,8 +333,10 @@
 			client := w.readyClient("kovacs")
 			wait.Go(func() { w.keepBusy(client, stop) })
 		}
-		long := w.readyClient("falares")
-		wait.Go(func() { w.keepStreaming(long, stop) })
+		for range 8 {
+			long := w.readyClient("falares")
+			wait.Go(func() { w.keepStreaming(long, stop) })
+		}
 		time.Sleep(2 * time.Second)
 		zones := []string{"hu-central-a", "hu-central-a", "hu-central-b", "hu-central-b"}
 		for index, zone := range zones {
