--- a/hallctl/operator/operator.go
+++ b/hallctl/operator/operator.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -143,7 +144,7 @@
 	if current.Revision() != base {
 		return configuration.NewRaceError(base, current.Revision())
 	}
-	return t.change(ctx, base, edits)
+	return t.report(t.change(ctx, base, edits))
 }
 
 func (t *Tool) plan(ctx context.Context, path string) (*table.Table, []table.Edit, error) {
@@ -162,35 +163,53 @@
 // keys, where an operator means the thing and not a state of the table. A race
 // is tried again, since such an edit does not depend on what else changed.
 func (t *Tool) ChangeNow(ctx context.Context, edits ...table.Edit) error {
+	return t.report(t.changeNow(ctx, edits))
+}
+
+func (t *Tool) changeNow(ctx context.Context, edits []table.Edit) (changeResult, error) {
 	for {
 		current, err := t.editor.Load(ctx)
 		if err != nil {
-			return err
+			return changeResult{}, err
 		}
-		err = t.change(ctx, current.Revision(), edits)
+		result, err := t.change(ctx, current.Revision(), edits)
 		if !isRace(err) {
-			return err
+			return result, err
 		}
 	}
 }
 
-func (t *Tool) change(ctx context.Context, base uint64, edits []table.Edit) error {
+// change writes the edits and waits until they are in force. The error is a
+// *LackingError if they are accepted and some process lacks them.
+func (t *Tool) change(ctx context.Context, base uint64, edits []table.Edit) (changeResult, error) {
 	if len(edits) == 0 {
-		return t.print(changeResult{Revision: base, InForce: true}, "nothing to change at revision %d\n", base)
+		return changeResult{Revision: base, InForce: true, Unchanged: true}, nil
 	}
 	next, err := t.editor.Apply(ctx, base, t.author, edits)
 	if err != nil {
-		return err
+		return changeResult{}, err
 	}
 	lacking := t.waitInForce(ctx, next.Revision())
 	result := changeResult{Revision: next.Revision(), InForce: len(lacking) == 0, Lacking: lacking}
 	if len(lacking) > 0 {
-		if t.asJSON {
-			_ = t.printJSON(result)
-		}
-		return &LackingError{revision: next.Revision(), lacking: lacking}
+		return result, &LackingError{revision: next.Revision(), lacking: lacking}
+	}
+	return result, nil
+}
+
+// report prints the result of a change that was accepted.
+func (t *Tool) report(result changeResult, err error) error {
+	var lacking *LackingError
+	switch {
+	case errors.As(err, &lacking) && t.asJSON:
+		return errors.Join(t.printJSON(result), err)
+	case err != nil:
+		return err
+	case result.Unchanged:
+		return t.print(result, "nothing to change at revision %d\n", result.Revision)
+	default:
+		return t.print(result, "revision %d is in force everywhere\n", result.Revision)
 	}
-	return t.print(result, "revision %d is in force everywhere\n", next.Revision())
 }
 
 // waitInForce returns the processes that lack the revision in the end.
@@ -236,9 +255,10 @@
 }
 
 type changeResult struct {
-	Revision uint64   `json:"revision"`
-	InForce  bool     `json:"inForceEverywhere"`
-	Lacking  []string `json:"lacking,omitempty"`
+	Revision  uint64   `json:"revision"`
+	InForce   bool     `json:"inForceEverywhere"`
+	Unchanged bool     `json:"unchanged,omitempty"`
+	Lacking   []string `json:"lacking,omitempty"`
 }
 
 // print writes the result as JSON, or the text.
--- a/hallctl/operator/show.go
+++ b/hallctl/operator/show.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	err = t.ChangeNow(ctx, table.NewAddKey(kept))
+	_, err = t.changeNow(ctx, []table.Edit{table.NewAddKey(kept)})
 	var lacking *LackingError
 	if err != nil && !errors.As(err, &lacking) {
 		return err
--- a/kernel/host/watcher.go
+++ b/kernel/host/watcher.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// keptRosters is how many earlier rosters a watcher can still name.
+	// keptRosters is how many earlier sets of plain services a watcher can
+	// still name.
 	keptRosters = 256
 	// returnGrace is how long removals are put off after an outage of the
 	// store, in which leases may have lapsed of processes that are alive.
@@ -22,7 +23,7 @@
 	outageLength = 3 * time.Second
 )
 
-// Watcher holds the newest roster and some earlier ones.
+// Watcher holds the newest roster and, of earlier ones, what tickets may name.
 type Watcher struct {
 	store   platform.Store
 	logger  *zap.Logger
@@ -61,7 +62,8 @@
 	w.subscribers = append(w.subscribers, notify)
 }
 
-// ByPlacement returns the newest kept roster with that placement digest.
+// ByPlacement returns the newest roster with that placement digest, with its
+// limpets before plain services alone.
 func (w *Watcher) ByPlacement(digest uint64) (*Roster, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -74,7 +76,7 @@
 }
 
 // Placements returns the kept rosters that differ in placement and have a
-// limpet before the service, newest first.
+// limpet before the service, newest first, as ByPlacement does.
 func (w *Watcher) Placements(service string) []*Roster {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -183,15 +185,30 @@
 	}
 	roster := NewRoster(revision, members)
 	w.current.Store(roster)
-	w.earlier = append(w.earlier, roster)
-	if len(w.earlier) > keptRosters {
-		w.earlier = w.earlier[1:]
-	}
+	w.remember(roster)
 	for _, notify := range w.subscribers {
 		notify(roster)
 	}
 }
 
+// remember keeps what a ticket may name of a roster: the limpets before plain
+// services, if they differ from those of the roster before.
+func (w *Watcher) remember(roster *Roster) {
+	if last := len(w.earlier) - 1; last >= 0 && w.earlier[last].placement == roster.placement {
+		return
+	}
+	var placing []Member
+	for _, member := range roster.limpets {
+		if member.service != "" {
+			placing = append(placing, member)
+		}
+	}
+	w.earlier = append(w.earlier, NewRoster(roster.revision, placing))
+	if len(w.earlier) > keptRosters {
+		w.earlier = w.earlier[1:]
+	}
+}
+
 func (w *Watcher) touch() { w.contact.Store(time.Now().UnixNano()) }
 
 // ReadRoster returns the roster as the store has it now.
--- a/standin/script_test.go
+++ b/standin/script_test.go
@@ -2,6 +2,7 @@
 package standin_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -98,6 +99,18 @@
 	ts.Fatalf("%v did not become ready", args)
 }
 
+func keyOf(ts *testscript.TestScript, text string) string {
+	path, isFile := strings.CutPrefix(text, "@")
+	if !isFile {
+		return text
+	}
+	var created struct {
+		Key string `json:"key"`
+	}
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile(path)), &created))
+	return created.Key
+}
+
 func isReady(args []string) bool {
 	if len(args) == 1 {
 		connection, err := net.Dial("tcp", args[0])
@@ -114,7 +127,7 @@
 }
 
 // fetch sends a request: fetch METHOD URL KEY [BODY], and prints status and
-// answer.
+// answer. A key of the form @FILE is read from the JSON that hallctl printed.
 func fetch(ts *testscript.TestScript, _ bool, args []string) {
 	body := ""
 	if len(args) > 3 {
@@ -122,7 +135,7 @@
 	}
 	request, err := http.NewRequest(args[0], args[1], strings.NewReader(body))
 	ts.Check(err)
-	request.Header.Set("Authorization", "Bearer "+strings.TrimSpace(args[2]))
+	request.Header.Set("Authorization", "Bearer "+keyOf(ts, args[2]))
 	response, err := http.DefaultClient.Do(request)
 	ts.Check(err)
 	defer func() { _ = response.Body.Close() }()
