--- /dev/null
+++ b/kernel/wire/stream_test.go
@@ -0,0 +1,76 @@
+package wire_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"limpethall.dev/kernel/wire"
+)
+
+func frames() []*wire.Frame {
+	return []*wire.Frame{
+		{CallId: "a", Body: &wire.Frame_Delta{Delta: &wire.Delta{Json: []byte(`{"content":"x"}`), Tokens: 1}}},
+		{CallId: "a", Offset: 1, Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{}}},
+		{CallId: "a", Offset: 2, Body: &wire.Frame_End{End: &wire.End{FinishReason: "stop"}}},
+	}
+}
+
+func written(t testing.TB) []byte {
+	t.Helper()
+	var stream bytes.Buffer
+	writer := wire.NewFrameWriter(&stream, func() error { return nil })
+	for _, frame := range frames() {
+		if err := writer.Write(frame); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return stream.Bytes()
+}
+
+func TestFramesArriveAsSent(t *testing.T) {
+	reader := wire.NewFrameReader(bytes.NewReader(written(t)))
+	for index, want := range frames() {
+		got, err := reader.Read()
+		if err != nil || !proto.Equal(got, want) {
+			t.Errorf("frame %d: got %v, %v, want %v", index, got, err, want)
+		}
+	}
+	if _, err := reader.Read(); !errors.Is(err, io.EOF) {
+		t.Errorf("after the last frame: got %v, want io.EOF", err)
+	}
+}
+
+// TestCutStreamIsAnError cuts a stream at every byte inside a frame.
+func TestCutStreamIsAnError(t *testing.T) {
+	whole := written(t)
+	first := len(whole) / 3
+	for length := range first {
+		reader := wire.NewFrameReader(bytes.NewReader(whole[:length]))
+		_, err := reader.Read()
+		if length > 0 && (err == nil || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)) {
+			t.Errorf("cut after %d bytes: got %v, want an error that is not the proper end", length, err)
+		}
+	}
+}
+
+func FuzzFrameReader(f *testing.F) {
+	f.Add(written(f))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		reader := wire.NewFrameReader(bytes.NewReader(stream))
+		for range len(stream) + 1 {
+			frame, err := reader.Read()
+			if err != nil {
+				return
+			}
+			if proto.Size(frame) > wire.MaxFrameBytes {
+				t.Errorf("frame of %d bytes was accepted, the most is %d", proto.Size(frame), wire.MaxFrameBytes)
+			}
+		}
+		t.Errorf("more frames than bytes")
+	})
+}
