Roll the shared secret while processes run

Processes read secretsFile again every five seconds. Seen: a program goes on through adding, moving and removing a secret; afterwards the old one is refused and the new one accepted; a file with a short secret changes nothing.

--- a/hall/hall.go
+++ b/hall/hall.go
@@ -40,6 +40,7 @@
 	"limpethall.dev/kernel/program"
 	"limpethall.dev/kernel/route"
 	"limpethall.dev/kernel/secret"
+	"limpethall.dev/kernel/settings"
 )
 
 const (
@@ -80,8 +81,8 @@
 }
 
 // New opens the hall's two ports; nothing is served before Start.
-func New(settings Settings, own network.Network, store platform.Store, book *logs.Book) (*Process, error) {
-	p := &Process{settings: settings, network: own, logs: book, logger: book.Layer("hall"), store: store}
+func New(chosen Settings, own network.Network, store platform.Store, book *logs.Book) (*Process, error) {
+	p := &Process{settings: chosen, network: own, logs: book, logger: book.Layer("hall"), store: store}
 	if err := p.open(); err != nil {
 		p.close()
 		return nil, err
@@ -106,6 +107,9 @@
 	p.public.Start()
 	p.internal.Start()
 	p.duties.Go("registration", p.registrar.Keep)
+	if p.settings.SecretsFile != "" {
+		p.duties.Every("secrets", settings.SecretsInterval, p.settings.FollowSecrets(p.book, p.logger))
+	}
 	p.duties.Go("roster", p.roster.Follow)
 	p.duties.Go("configuration", p.follower.Follow)
 	p.duties.Go("share tenure", p.keeper.Register)
@@ -151,7 +155,7 @@
 
 func (p *Process) open() error {
 	var err error
-	if p.book, err = secret.New(p.settings.Secrets); err != nil {
+	if p.book, err = p.settings.OpenSecrets(); err != nil {
 		return err
 	}
 	encryption, err := p.encryption()
--- a/kernel/secret/secret.go
+++ b/kernel/secret/secret.go
@@ -19,6 +19,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -53,6 +54,25 @@
 	return book, book.Replace(secrets)
 }
 
+// ReadFile returns the secrets of a file, one on each line.
+func ReadFile(path string) ([]string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return strings.Fields(string(text)), nil
+}
+
+// Reload installs the secrets of a file. The present ones stay in force if it
+// can't be read or holds one that is too short.
+func (b *Book) Reload(path string) error {
+	secrets, err := ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return b.Replace(secrets)
+}
+
 // Replace installs other secrets.
 func (b *Book) Replace(secrets []string) error {
 	if len(secrets) == 0 {
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -11,6 +11,7 @@
 package settings
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -19,6 +20,7 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/logs"
 	"limpethall.dev/kernel/network"
@@ -100,11 +102,13 @@
 
 // Process are the settings that every long-lived process has.
 type Process struct {
-	Name    string       `toml:"name"`
-	Zone    string       `toml:"zone"`
-	Secrets []string     `toml:"secrets"`
-	Store   Store        `toml:"store"`
-	Log     logs.Options `toml:"log"`
+	Name    string   `toml:"name"`
+	Zone    string   `toml:"zone"`
+	Secrets []string `toml:"secrets"`
+	// SecretsFile is read again while the process runs, for rolling secrets.
+	SecretsFile string       `toml:"secretsFile"`
+	Store       Store        `toml:"store"`
+	Log         logs.Options `toml:"log"`
 }
 
 // Problems returns what is wrong.
@@ -116,13 +120,38 @@
 	if p.Zone == "" {
 		found = append(found, "zone: is missing, name the availability zone of this host")
 	}
-	if _, err := secret.New(p.Secrets); err != nil {
+	if _, err := p.OpenSecrets(); err != nil {
 		found = append(found, fmt.Sprintf("secrets: %v", err))
 	}
 	found = append(found, p.Store.Problems()...)
 	return append(found, p.Log.Problems()...)
 }
 
+// OpenSecrets returns the book of the secrets, from the file if one is named.
+func (p Process) OpenSecrets() (*secret.Book, error) {
+	if p.SecretsFile == "" {
+		return secret.New(p.Secrets)
+	}
+	secrets, err := secret.ReadFile(p.SecretsFile)
+	if err != nil {
+		return nil, err
+	}
+	return secret.New(secrets)
+}
+
+// SecretsInterval is the pause between two looks at the secrets' file.
+const SecretsInterval = 5 * time.Second
+
+// FollowSecrets returns the step that keeps a book in step with its file, for
+// a duty at SecretsInterval.
+func (p Process) FollowSecrets(book *secret.Book, logger *zap.Logger) func(ctx context.Context) {
+	return func(context.Context) {
+		if err := book.Reload(p.SecretsFile); err != nil {
+			logger.Warn("secrets not read again, the present ones stay in force", zap.Error(err))
+		}
+	}
+}
+
 // Store says how the key-value service is reached.
 type Store struct {
 	Protocol    string   `toml:"protocol"`
--- a/limpet/limpet.go
+++ b/limpet/limpet.go
@@ -29,6 +29,7 @@
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/queue"
 	"limpethall.dev/kernel/secret"
+	"limpethall.dev/kernel/settings"
 	"limpethall.dev/kernel/table"
 	"limpethall.dev/kernel/window"
 	"limpethall.dev/limpet/call"
@@ -71,13 +72,13 @@
 }
 
 // New opens the limpet's port; nothing is served before Start.
-func New(settings Settings, own network.Network, store platform.Store, book *logs.Book) (*Process, error) {
-	p := &Process{settings: settings, network: own, store: store, logger: book.Layer("limpet"), reachable: true}
+func New(chosen Settings, own network.Network, store platform.Store, book *logs.Book) (*Process, error) {
+	p := &Process{settings: chosen, network: own, store: store, logger: book.Layer("limpet"), reachable: true}
 	var err error
-	if p.book, err = secret.New(settings.Secrets); err != nil {
+	if p.book, err = chosen.OpenSecrets(); err != nil {
 		return nil, err
 	}
-	if p.listener, err = listener.New(listener.Options{Network: own, Address: settings.Listen, MaxBody: settings.MaxCallBytes}); err != nil {
+	if p.listener, err = listener.New(listener.Options{Network: own, Address: chosen.Listen, MaxBody: chosen.MaxCallBytes}); err != nil {
 		return nil, err
 	}
 	if err := p.assemble(book); err != nil {
@@ -132,6 +133,9 @@
 	p.duties.Go("gate", p.gate.Run)
 	p.duties.Every("watch", watchInterval, p.watch.Step)
 	p.duties.Go("registration", p.registrar.Keep)
+	if p.settings.SecretsFile != "" {
+		p.duties.Every("secrets", settings.SecretsInterval, p.settings.FollowSecrets(p.book, p.logger))
+	}
 	if p.orders != nil {
 		p.duties.Every("orders", orderInterval, p.order)
 	}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -62,6 +62,8 @@
 	ProgramIdle time.Duration
 	PinLength   time.Duration
 	Log         logs.Options
+	// SecretsFile, if set, holds the shared secrets in place of Secret.
+	SecretsFile string
 	// Network gives each host its network; none means TCP.
 	Network func(host string) network.Network
 	// FirstHallPort, if set, is the port of the first hall for callers; the
--- a/standin/deployment/peer_test.go
+++ b/standin/deployment/peer_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -65,3 +67,40 @@
 		}
 	})
 }
+
+// TestSecretsAreRolledUnderTraffic changes the shared secret of all processes
+// by their file in three steps, while a program runs on.
+func TestSecretsAreRolledUnderTraffic(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "secrets")
+	first, second := strings.Repeat("first-", 8), strings.Repeat("second-", 8)
+	write := func(secrets ...string) {
+		if err := os.WriteFile(path, []byte(strings.Join(secrets, "\n")), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(first)
+	inWorld(t, func(options *deployment.Options) { options.SecretsFile = path }, func(w *world) {
+		program := w.open(w.client("kovacs"), 0)
+		w.turn(program, "before answer=5", false)
+		for _, step := range [][]string{{first, second}, {second, first}, {second}} {
+			write(step...)
+			time.Sleep(10 * time.Second)
+			w.turn(program, "during answer=5", false)
+		}
+		for text, want := range map[string]bool{first: false, second: true} {
+			book, err := secret.New([]string{text})
+			if err != nil {
+				t.Fatal(err)
+			}
+			client := peer.NewClient(book, w.network.Host("operator"))
+			_, err = client.Hall(w.Halls()[0].PeerAddress()).Describe(w.ctx, &wire.Empty{})
+			if got := err == nil; got != want {
+				t.Errorf("secret %q after the roll: got accepted %v, want %v", text[:6], got, want)
+			}
+			client.Close()
+		}
+		write("too-short")
+		time.Sleep(10 * time.Second)
+		w.turn(program, "after answer=5", false)
+	})
+}
--- a/standin/deployment/process.go
+++ b/standin/deployment/process.go
@@ -196,7 +196,7 @@
 }
 
 func (d *Deployment) process(name, zone string) settings.Process {
-	return settings.Process{Name: name, Zone: zone, Secrets: []string{Secret}, Store: d.storeSettings(), Log: d.options.Log}
+	return settings.Process{Name: name, Zone: zone, Secrets: []string{Secret}, SecretsFile: d.options.SecretsFile, Store: d.storeSettings(), Log: d.options.Log}
 }
 
 func (d *Deployment) storeSettings() settings.Store {
