Record that engines which turn cold unannounced get too much for 0.7 s

The new test fails: until the next load report, up to 0.7 s after the engine turned cold, it gets a warm window's calls.

--- a/standin/deployment/fault_test.go
+++ b/standin/deployment/fault_test.go
@@ -211,6 +211,33 @@
 	}
 }
 
+// TestUnannouncedColdness makes engines cold under load without a restart and
+// counts the new requests beyond what they then bear.
+func TestUnannouncedColdness(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		var wait sync.WaitGroup
+		until := time.Now().Add(6 * time.Second)
+		for range 40 {
+			client := w.client("kovacs")
+			wait.Go(func() {
+				for time.Now().Before(until) {
+					_, _ = w.open(client, 0).Turn(w.ctx, w.Model(), "load answer=40", false)
+				}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		for _, running := range w.Engines() {
+			running.TurnCold()
+		}
+		wait.Wait()
+		for index, running := range w.Engines() {
+			if got := running.Stats().OverColdBound; got > 0 {
+				t.Errorf("engine-%d: got %d requests over what it bears when cold, want 0", index+1, got)
+			}
+		}
+	})
+}
+
 // TestZoneAndServerOutAndBack counts new work on servers that are out.
 func TestZoneAndServerOutAndBack(t *testing.T) {
 	cases := []struct {
