--- a/hall/allowance/allowance.go
+++ b/hall/allowance/allowance.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/limit"
 	"limpethall.dev/kernel/table"
@@ -165,7 +166,8 @@
 		if now.Add(wait).After(deadline) {
 			return refusal(workspace, known, now)
 		}
-		if err := sleep(ctx, wait); err != nil {
+		duty.Pause(ctx, wait)
+		if ctx.Err() != nil {
 			return failure.New(failure.CodeCanceled, failure.NotRun, "the caller has gone")
 		}
 	}
@@ -205,14 +207,3 @@
 	hint := min(max(known.bucket.Wait(now), minHint), maxHint)
 	return failure.New(failure.CodeRateLimited, failure.NotRun, "workspace %q is over its rate and burst", workspace).WithRetryAfter(hint)
 }
-
-func sleep(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/hall/dispatch/dispatch.go
+++ b/hall/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/hall/fleet"
+	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/peer"
@@ -172,7 +173,7 @@
 	end, err := reading.attempt(ctx, false)
 	for resumes := 0; err != nil && reading.resumable(ctx, err) && resumes < maxResumes; resumes++ {
 		d.logger.Info("stream broke, resuming", zap.String("call", call.GetCallId()), zap.String("server", limpet.Name()), zap.Uint64("offset", reading.offset), zap.Error(err))
-		pause(ctx, time.Duration(resumes)*resumePause)
+		duty.Pause(ctx, time.Duration(resumes)*resumePause)
 		end, err = reading.attempt(ctx, true)
 	}
 	if err != nil {
@@ -297,10 +298,3 @@
 		d.logger.Debug("call not canceled", zap.String("call", callID), zap.Error(err))
 	}
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
--- a/kernel/duty/duty.go
+++ b/kernel/duty/duty.go
@@ -45,7 +45,7 @@
 		defer g.wait.Done()
 		for g.ctx.Err() == nil {
 			g.once(name, run)
-			g.pause(restartPause)
+			Pause(g.ctx, restartPause)
 		}
 	}()
 }
@@ -83,11 +83,12 @@
 	}
 }
 
-func (g *Group) pause(length time.Duration) {
+// Pause waits for the length or until the context ends.
+func Pause(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
-	case <-g.ctx.Done():
+	case <-ctx.Done():
 	case <-timer.C:
 	}
 }
--- a/kernel/host/registrar.go
+++ b/kernel/host/registrar.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/platform"
 )
 
@@ -71,7 +72,7 @@
 		lease, err := r.register(ctx)
 		if err != nil {
 			r.logger.Warn("not registered", zap.Error(err))
-			wait(ctx, registerPause)
+			duty.Pause(ctx, registerPause)
 			continue
 		}
 		r.lease.Store(uint64(lease))
@@ -151,7 +152,7 @@
 // unreachable store is no reason to register again: the lease may still hold.
 func (r *Registrar) keepAlive(ctx context.Context, lease platform.LeaseID) {
 	for {
-		wait(ctx, r.length/keepAliveShare)
+		duty.Pause(ctx, r.length/keepAliveShare)
 		if ctx.Err() != nil || r.left.Load() {
 			return
 		}
@@ -181,12 +182,3 @@
 		r.seen.Store(sent.UnixNano())
 	}
 }
-
-func wait(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/kernel/host/watcher.go
+++ b/kernel/host/watcher.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/platform"
 )
 
@@ -105,7 +106,7 @@
 	if !last.IsZero() && time.Since(last) > outageLength {
 		w.logger.Info("store is back, removals wait", zap.Duration("grace", returnGrace))
 		w.merge(listing)
-		wait(ctx, returnGrace)
+		duty.Pause(ctx, returnGrace)
 		var err error
 		if listing, err = w.store.List(ctx, prefix); err != nil {
 			return err
--- a/kernel/platform/follow.go
+++ b/kernel/platform/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"limpethall.dev/kernel/duty"
 )
 
 // followPause is the wait before a prefix is listed again after a failure or
@@ -36,12 +38,7 @@
 			subscriber.Failed(err)
 		}
 		healthy = false
-		timer := time.NewTimer(followPause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		duty.Pause(ctx, followPause)
 	}
 	return nil
 }
--- a/limpet/gate/event.go
+++ b/limpet/gate/event.go
@@ -47,11 +47,20 @@
 	case removal:
 		g.waiting.Remove(e.id)
 	case coldness:
-		g.bound.Reset(g.now())
-		g.logger.Info("server taken to be cold", zap.String("reason", e.reason))
+		g.turnCold(e.reason)
 	}
 }
 
+// turnCold sets the window back. The log says so once, not at each failed
+// report of a server that stays away.
+func (g *Gate) turnCold(reason string) {
+	now := g.now()
+	if !g.bound.Cold(now) {
+		g.logger.Info("server taken to be cold", zap.String("reason", reason))
+	}
+	g.bound.Reset(now)
+}
+
 func (g *Gate) arrive(arrived *call.Call) {
 	dispatch := arrived.Dispatch()
 	item := queue.NewItem(arrived.ID(), dispatch.GetWorkspace(), dispatch.GetProgramId(),
--- a/limpet/limpet.go
+++ b/limpet/limpet.go
@@ -153,9 +153,9 @@
 	if err != nil {
 		p.logger.Warn("not taken off the roster, the lease will lapse", zap.Error(err))
 	}
-	pause(ctx, leavePause)
+	duty.Pause(ctx, leavePause)
 	for p.gate.Open() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+		duty.Pause(ctx, drainPoll)
 	}
 	drained := p.listener.Drain(ctx)
 	p.duties.Stop()
@@ -272,10 +272,3 @@
 	}
 	p.gate.Refuse(reason)
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -19,6 +19,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/standin/caller"
 	"limpethall.dev/standin/deployment"
@@ -117,7 +118,7 @@
 	number := uint64(0)
 	for _, event := range r.events {
 		wait.Go(func() {
-			pause(ctx, time.Duration(event.At*float64(r.length)))
+			duty.Pause(ctx, time.Duration(event.At*float64(r.length)))
 			if err := event.Do(ctx, r.deployment); err != nil {
 				r.failEvent(event.Name, err)
 			}
@@ -231,7 +232,7 @@
 		if c.shape.Think > 0 {
 			think := time.Duration(c.random.Int64N(int64(c.shape.Think)))
 			c.alone += think
-			pause(ctx, think)
+			duty.Pause(ctx, think)
 		}
 	}
 	return program.End(ctx)
@@ -244,7 +245,7 @@
 		if err == nil || !errors.As(err, &answered) || answered.Status < 500 || ctx.Err() != nil {
 			return program, err
 		}
-		pause(ctx, answered.Hint())
+		duty.Pause(ctx, answered.Hint())
 	}
 }
 
@@ -296,12 +297,3 @@
 	}
 	return string(text)
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
