--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO ?= go
 BIN := $(CURDIR)/bin
-MODULES := kernel hall limpet hallctl standin
+MODULES := kernel hall limpet keeper hallctl standin platform
 LINT_VERSION := v2.15.0
 LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
 
--- a/hall/allowance/allowance.go
+++ b/hall/allowance/allowance.go
@@ -71,12 +71,15 @@
 }
 
 // Configure takes in the rows of a table.
-func (a *Allowance) Configure(accepted *table.Table) {
+func (a *Allowance) Configure(accepted *table.Table) { a.ConfigureRows(accepted.Rows()) }
+
+// ConfigureRows takes in rows that come from elsewhere than a table.
+func (a *Allowance) ConfigureRows(rows []table.Row) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := a.now()
 	next := make(map[string]*entry, len(a.entries))
-	for _, row := range accepted.Rows() {
+	for _, row := range rows {
 		known, found := a.entries[row.Workspace()]
 		if !found {
 			known = &entry{bucket: limit.NewBucket(now), asking: make(chan struct{}, 1)}
--- a/hall/allowance/lenders.go
+++ b/hall/allowance/lenders.go
@@ -7,7 +7,6 @@
 
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/limit"
-	"limpethall.dev/kernel/peer"
 	"limpethall.dev/kernel/wire"
 )
 
@@ -22,12 +21,18 @@
 type Peers struct {
 	own    string
 	roster *host.Watcher
-	client *peer.Client
+	client func(address string) Lender
 	now    func() time.Time
 }
 
-// NewPeers returns the lenders of a hall.
-func NewPeers(own string, roster *host.Watcher, client *peer.Client, now func() time.Time) *Peers {
+// Lender is the part of a hall's interface that lends.
+type Lender interface {
+	Lend(ctx context.Context, request *wire.LendRequest) (*wire.LendReply, error)
+}
+
+// NewPeers returns the lenders of a hall; client returns the hall at an
+// address.
+func NewPeers(own string, roster *host.Watcher, client func(address string) Lender, now func() time.Time) *Peers {
 	return &Peers{own: own, roster: roster, client: client, now: now}
 }
 
@@ -68,7 +73,7 @@
 	var wait sync.WaitGroup
 	for index, hall := range halls {
 		wait.Go(func() {
-			reply, err := p.client.Hall(hall.Address()).Lend(ctx, &wire.LendRequest{
+			reply, err := p.client(hall.Address()).Lend(ctx, &wire.LendRequest{
 				Hall: p.own, Workspace: workspace, Millitokens: int64(amount*millitokens) + 1, SettledLoans: bucket.Settled(hall.Name()),
 			})
 			if err != nil {
--- /dev/null
+++ b/hall/turns/ask.go
@@ -0,0 +1,148 @@
+package turns
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"limpethall.dev/kernel/keeping"
+	"limpethall.dev/kernel/wire"
+)
+
+type result struct {
+	reply any
+	err   error
+}
+
+// results are the replies of one question. replies is closed when no more will
+// come.
+type results struct {
+	replies chan result
+	enough  context.CancelFunc
+	again   chan struct{}
+}
+
+// more asks one further replica.
+func (r *results) more() {
+	select {
+	case r.again <- struct{}{}:
+	default:
+	}
+}
+
+// ask puts a question to a quorum of the replicas, and to the next ones in turn
+// for each that fails or is slow. The calls that are under way when enough is
+// called go on, so that the records reach as many disks as they can.
+func (c *Client) ask(ctx context.Context, placement string, call func(ctx context.Context, keeper wire.Keeper) (any, error)) *results {
+	replicas := c.replicas(placement)
+	waiting, enough := context.WithCancel(ctx)
+	r := &results{replies: make(chan result, len(replicas)), enough: enough, again: make(chan struct{}, len(replicas))}
+	go c.collect(waiting, r, replicas, call)
+	return r
+}
+
+func (c *Client) collect(ctx context.Context, r *results, replicas []keeping.Keeper, call func(ctx context.Context, keeper wire.Keeper) (any, error)) {
+	defer close(r.replies)
+	defer r.enough()
+	answers := make(chan result, len(replicas))
+	next, open := 0, 0
+	askNext := func() {
+		if next < len(replicas) {
+			keeper := replicas[next]
+			next++
+			open++
+			go func() { answers <- c.call(ctx, keeper, call) }()
+		}
+	}
+	for range min(c.rule.Quorum(), len(replicas)) {
+		askNext()
+	}
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	for open > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case answer := <-answers:
+			open--
+			if answer.err != nil {
+				askNext()
+			}
+			r.replies <- answer
+		case <-r.again:
+			askNext()
+		case <-hedge.C:
+			for range open {
+				askNext()
+			}
+		}
+	}
+}
+
+// call makes one call, which is not cancelled with the question.
+func (c *Client) call(ctx context.Context, keeper keeping.Keeper, call func(ctx context.Context, keeper wire.Keeper) (any, error)) result {
+	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	reply, err := call(own, c.client(keeper))
+	c.note(own, keeper, err)
+	return result{reply: reply, err: err}
+}
+
+// note remembers a keeper that failed, and gives up its idle connections, which
+// may be as dead as the one that failed.
+func (c *Client) note(ctx context.Context, keeper keeping.Keeper, err error) {
+	c.mutex.Lock()
+	_, was := c.suspect[keeper.Name]
+	switch {
+	case err == nil:
+		delete(c.suspect, keeper.Name)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		c.suspect[keeper.Name] = time.Now()
+	}
+	c.mutex.Unlock()
+	switch {
+	case err == nil && was:
+		c.logger.Info("keeper answers again", zap.String("keeper", keeper.Name))
+	case err != nil && !was:
+		var failure twirp.Error
+		c.logger.Warn("keeper does not answer", zap.String("keeper", keeper.Name), zap.Error(err), zap.Bool("replied", errors.As(err, &failure)))
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.transport.CloseIdleConnections()
+	}
+}
+
+// replicas returns the keepers of a placement, those that failed a moment ago
+// last.
+func (c *Client) replicas(placement string) []keeping.Keeper {
+	replicas := c.rule.Replicas(c.keepers(), placement)
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	slices.SortStableFunc(replicas, func(a, b keeping.Keeper) int {
+		return c.suspicion(a, now) - c.suspicion(b, now)
+	})
+	return replicas
+}
+
+func (c *Client) suspicion(keeper keeping.Keeper, now time.Time) int {
+	if at, found := c.suspect[keeper.Name]; found && now.Sub(at) < suspectTime {
+		return 1
+	}
+	return 0
+}
+
+func (c *Client) client(keeper keeping.Keeper) wire.Keeper {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	known := c.clients[keeper.Address]
+	if known == nil {
+		known = wire.NewKeeperProtobufClient("http://"+keeper.Address, c.http)
+		c.clients[keeper.Address] = known
+	}
+	return known
+}
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,204 @@
+// Package keeper is the process on hosts with a disk. It stores turns whose
+// history must last and the token reservations of programs, synced, on as many
+// disks as the tolerance asks for; see package keeping for which.
+//
+// # Usage
+//
+//	process, err := keeper.New(keeper.Options{Name: "keeper-1", Zone: "hu-central-a", …})
+//	err = process.Start(ctx)
+//	err = process.Stop(ctx)
+package keeper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"limpethall.dev/keeper/archive"
+	"limpethall.dev/keeper/ledger"
+	"limpethall.dev/kernel/duty"
+	"limpethall.dev/kernel/host"
+	"limpethall.dev/kernel/keeping"
+	"limpethall.dev/kernel/network"
+	"limpethall.dev/kernel/platform"
+	"limpethall.dev/kernel/wire"
+)
+
+const (
+	// liveLease is how long a keeper's live key outlasts it.
+	liveLease = 1500 * time.Millisecond
+	// goneTime is how long the live key of a member must be gone before its
+	// disk is taken for lost.
+	goneTime = 2500 * time.Millisecond
+	// tendInterval is the pause between two looks at the list of members.
+	tendInterval = 500 * time.Millisecond
+	// expireInterval is the pause between two removals of expired records.
+	expireInterval = 5 * time.Second
+	// copyTimeout bounds the call for one page of a copy.
+	copyTimeout = time.Second
+	// copyPause is the wait before a copy that failed is tried again.
+	copyPause = 100 * time.Millisecond
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+)
+
+// Options are what a keeper is built from.
+type Options struct {
+	Name    string
+	Zone    string
+	Address string
+	// Folder is where the records lie.
+	Folder string
+	// FirstStart says that the whole system starts for the first time, so an
+	// empty disk lacks nothing.
+	FirstStart bool
+	// Tolerance is how many disks may be lost at once.
+	Tolerance int
+	Network   network.Network
+	Store     platform.Store
+	Logger    *zap.Logger
+}
+
+// Keeper is the running process.
+type Keeper struct {
+	options   Options
+	logger    *zap.Logger
+	rule      keeping.Rule
+	archive   *archive.Archive
+	ledger    *ledger.Ledger
+	members   *keeping.Members
+	registrar *host.Registrar
+	duties    *duty.Group
+	server    *http.Server
+	transport *http.Transport
+	client    *http.Client
+	leaving   chan struct{}
+}
+
+// New opens the disk. Nothing is served before Start.
+func New(options Options) (*Keeper, error) {
+	kept, err := archive.Open(options.Folder, options.Logger)
+	if err != nil {
+		return nil, err
+	}
+	book, err := ledger.Open(kept, time.Now(), options.Logger)
+	if err != nil {
+		return nil, errors.Join(oops.In("keeper").Wrapf(err, "read %s", options.Folder), kept.Close())
+	}
+	transport := &http.Transport{DialContext: options.Network.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	k := &Keeper{
+		options: options, logger: options.Logger, rule: keeping.New(options.Tolerance),
+		archive: kept, ledger: book, members: keeping.NewMembers(options.Store, options.Logger),
+		transport: transport, client: &http.Client{Transport: transport}, leaving: make(chan struct{}),
+	}
+	k.registrar = host.NewRegistrar(options.Store, keeping.LivePrefix+options.Name, []byte(options.Address), liveLease, options.Logger)
+	k.server = &http.Server{Handler: wire.NewKeeperServer(k), ReadHeaderTimeout: headerTimeout}
+	return k, nil
+}
+
+// Start serves and keeps the keeper on the list of members.
+func (k *Keeper) Start(ctx context.Context) error {
+	socket, err := k.options.Network.Listen(k.options.Address)
+	if err != nil {
+		return oops.In("keeper").Wrapf(err, "open %s", k.options.Address)
+	}
+	turns, programs := k.ledger.Sizes()
+	k.logger.Info("keeper starts", zap.String("name", k.options.Name), zap.String("address", k.options.Address),
+		zap.Int("turns", turns), zap.Int("programs", programs), zap.Bool("firstStart", k.options.FirstStart))
+	if k.options.FirstStart && k.ledger.Empty() {
+		k.ledger.SetReady(true)
+	}
+	go k.serve(socket)
+	k.duties = duty.New(ctx, k.logger)
+	k.duties.Go("members", k.members.Follow)
+	k.duties.Go("live key", k.registrar.Keep)
+	k.duties.Go("copies", k.keepCopies)
+	k.duties.Every("tend", tendInterval, k.tend)
+	k.duties.Every("expire", expireInterval, k.expire)
+	return nil
+}
+
+// Stop gives up the live key and closes the disk. The member stays on the
+// list: its disk comes back with the next start.
+func (k *Keeper) Stop(ctx context.Context) error {
+	k.logger.Info("keeper stops", zap.String("name", k.options.Name))
+	err := k.server.Shutdown(ctx)
+	k.duties.Stop()
+	return errors.Join(err, k.archive.Close())
+}
+
+// Ready reports whether this keeper has all that belongs to it.
+func (k *Keeper) Ready() bool { return k.ledger.Ready() }
+
+// Begin implements wire.Keeper.
+func (k *Keeper) Begin(_ context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
+	return k.ledger.Begin(time.Now(), request)
+}
+
+// Finish implements wire.Keeper.
+func (k *Keeper) Finish(_ context.Context, request *wire.FinishTurnRequest) (*wire.FinishTurnReply, error) {
+	return &wire.FinishTurnReply{}, k.ledger.Finish(time.Now(), request)
+}
+
+// Find implements wire.Keeper.
+func (k *Keeper) Find(_ context.Context, request *wire.FindTurnRequest) (*wire.FindTurnReply, error) {
+	return k.ledger.Find(request.GetTurn(), request.GetWorkspace())
+}
+
+// Copy implements wire.Keeper.
+func (k *Keeper) Copy(_ context.Context, request *wire.CopyRequest) (*wire.CopyReply, error) {
+	roster := k.members.Sources()
+	asked := make([]keeping.Keeper, 0, len(request.GetRoster()))
+	for _, name := range request.GetRoster() {
+		for _, member := range roster {
+			if member.Name == name {
+				asked = append(asked, member)
+			}
+		}
+	}
+	if len(asked) < len(request.GetRoster()) {
+		// The asking keeper knows members that are not known here: everything
+		// is passed on rather than too little.
+		return k.ledger.Page(request.GetAfter(), func(string) bool { return true })
+	}
+	return k.ledger.Page(request.GetAfter(), func(placement string) bool {
+		return k.rule.Holds(asked, placement, request.GetKeeper())
+	})
+}
+
+// Take implements wire.Keeper.
+func (k *Keeper) Take(_ context.Context, page *wire.CopyReply) (*wire.Empty, error) {
+	return &wire.Empty{}, k.ledger.Merge(time.Now(), page)
+}
+
+func (k *Keeper) serve(socket net.Listener) {
+	if err := k.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		k.logger.Error("keeper no longer serves", zap.Error(err))
+	}
+}
+
+func (k *Keeper) document() keeping.MemberDocument {
+	return keeping.MemberDocument{Name: k.options.Name, Zone: k.options.Zone, Address: k.options.Address}
+}
+
+func (k *Keeper) expire(context.Context) {
+	if err := k.ledger.Expire(time.Now()); err != nil {
+		k.logger.Error("expired records not removed", zap.Error(err))
+	}
+}
+
+// tend takes members off the list whose disks are lost.
+func (k *Keeper) tend(ctx context.Context) {
+	for _, name := range k.members.Missing(time.Now(), goneTime) {
+		if name == k.options.Name {
+			continue
+		}
+		err := k.members.Remove(ctx, name)
+		k.logger.Warn("keeper taken for lost", zap.String("keeper", name), zap.Duration("missing", goneTime), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/keeper/ledger/copy.go
@@ -0,0 +1,91 @@
+package ledger
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"limpethall.dev/keeper/archive"
+	"limpethall.dev/kernel/wire"
+)
+
+// pageBytes is about how much one page of a copy holds.
+const pageBytes = 512 << 10
+
+// Page returns a page of the records whose placement passes belongs, and where
+// the next page begins, nil for nowhere.
+func (l *Ledger) Page(after []byte, belongs func(placement string) bool) (*wire.CopyReply, error) {
+	reply := &wire.CopyReply{Ready: l.Ready()}
+	if len(after) == 0 {
+		after = nil
+	}
+	size := 0
+	next, err := l.archive.Scan(after, func(record archive.Record) bool {
+		size += l.addToPage(reply, record, belongs)
+		return size < pageBytes
+	})
+	reply.Next = next
+	return reply, err
+}
+
+func (l *Ledger) addToPage(reply *wire.CopyReply, record archive.Record, belongs func(placement string) bool) int {
+	switch {
+	case strings.HasPrefix(record.Key, turnPrefix):
+		turn := &wire.Turn{}
+		if err := proto.Unmarshal(record.Value, turn); err != nil {
+			l.logger.Error("stored turn not understood", zap.String("key", record.Key), zap.Error(err))
+			return 0
+		}
+		if belongs(turn.GetPlacement()) {
+			turn.ExpiresUnixMilliseconds = record.Expires.UnixMilli()
+			reply.Turns = append(reply.Turns, turn)
+			return len(record.Value)
+		}
+	case strings.HasPrefix(record.Key, reservationPrefix):
+		reservation := &wire.Reservation{}
+		if err := proto.Unmarshal(record.Value, reservation); err != nil {
+			l.logger.Error("stored reservation not understood", zap.String("key", record.Key), zap.Error(err))
+			return 0
+		}
+		if belongs(reservation.GetProgram()) {
+			reservation.ExpiresUnixMilliseconds = record.Expires.UnixMilli()
+			reply.Reservations = append(reply.Reservations, reservation)
+			return len(record.Value)
+		}
+	}
+	return 0
+}
+
+// Merge takes in a page of another keeper and syncs it.
+func (l *Ledger) Merge(now time.Time, page *wire.CopyReply) error {
+	var records []archive.Record
+	l.mutex.Lock()
+	for _, reservation := range page.GetReservations() {
+		records = append(records, l.putReservation(reservation)...)
+	}
+	for _, turn := range page.GetTurns() {
+		records = append(records, l.mergeTurn(now, turn)...)
+	}
+	l.mutex.Unlock()
+	return l.archive.Store(records...)
+}
+
+// mergeTurn keeps a copied turn until the other keeper would drop it; the
+// mutex is held.
+func (l *Ledger) mergeTurn(now time.Time, turn *wire.Turn) []archive.Record {
+	expires := time.UnixMilli(turn.GetExpiresUnixMilliseconds())
+	if _, found := l.turns[turn.GetId()]; found || !expires.After(now) {
+		return nil
+	}
+	value, err := proto.Marshal(turn)
+	if err != nil {
+		l.logger.Error("turn can't be encoded", zap.String("turn", turn.GetId()), zap.Error(err))
+		return nil
+	}
+	l.turns[turn.GetId()] = turnEntry{
+		previous: turn.GetPrevious(), workspace: turn.GetWorkspace(), placement: turn.GetPlacement(), expires: expires,
+	}
+	return []archive.Record{{Key: turnPrefix + turn.GetId(), Value: value, Expires: expires}}
+}
--- a/kernel/command/command.go
+++ b/kernel/command/command.go
@@ -32,6 +32,8 @@
 type Program struct {
 	Name  string
 	About string
+	// DefaultPath is the settings file where none is named.
+	DefaultPath string
 	// Check reads a settings file and returns what is wrong with it.
 	Check func(path string) error
 	// Run serves until the context ends and then has until the deadline of
@@ -45,7 +47,7 @@
 }
 
 func (p Program) run(arguments []string) int {
-	var path string
+	path := p.DefaultPath
 	parser := flaggy.NewParser(p.Name)
 	parser.Description = p.About
 	parser.Version = Version
--- a/kernel/host/roster.go
+++ b/kernel/host/roster.go
@@ -33,6 +33,7 @@
 const (
 	KindHall   Kind = "hall"
 	KindLimpet Kind = "limpet"
+	KindKeeper Kind = "keeper"
 )
 
 // Member is one process on the roster.
@@ -58,6 +59,11 @@
 	return Member{kind: KindLimpet, name: name, zone: zone, address: address, incarnation: incarnation, models: models, service: service, digest: xxhash.Sum64String(name)}
 }
 
+// NewKeeper returns a member for a keeper; address is where peers reach it.
+func NewKeeper(name, zone, address string, incarnation uint64) Member {
+	return Member{kind: KindKeeper, name: name, zone: zone, address: address, incarnation: incarnation, digest: xxhash.Sum64String(name)}
+}
+
 // Kind returns what the member is.
 func (m Member) Kind() Kind { return m.kind }
 
@@ -127,6 +133,7 @@
 	revision  uint64
 	halls     []Member
 	limpets   []Member
+	keepers   []Member
 	placement uint64
 }
 
@@ -139,11 +146,14 @@
 			roster.halls = append(roster.halls, member)
 		case KindLimpet:
 			roster.limpets = append(roster.limpets, member)
+		case KindKeeper:
+			roster.keepers = append(roster.keepers, member)
 		}
 	}
 	byName := func(a, b Member) int { return strings.Compare(a.name, b.name) }
 	slices.SortFunc(roster.halls, byName)
 	slices.SortFunc(roster.limpets, byName)
+	slices.SortFunc(roster.keepers, byName)
 	roster.placement = placementOf(roster.limpets)
 	return roster
 }
@@ -164,9 +174,12 @@
 // Limpets returns the limpets in order of name.
 func (r *Roster) Limpets() []Member { return r.limpets }
 
+// Keepers returns the keepers in order of name.
+func (r *Roster) Keepers() []Member { return r.keepers }
+
 // Members returns everyone.
 func (r *Roster) Members() []Member {
-	return append(slices.Clone(r.halls), r.limpets...)
+	return slices.Concat(r.halls, r.limpets, r.keepers)
 }
 
 // Hall returns the hall of that name.
