--- a/hall/allowance/keeper.go
+++ b/hall/allowance/keeper.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/limit"
 	"limpethall.dev/kernel/platform"
@@ -27,6 +28,8 @@
 	giveInterval = time.Second
 	// deadInterval is the pause between two looks for dead holders.
 	deadInterval = 5 * time.Second
+	// epochPoll is the pause between two looks for a new registration.
+	epochPoll = 50 * time.Millisecond
 )
 
 // Keeper keeps this hall's entry in the share table.
@@ -86,9 +89,26 @@
 	return k.outage(now)
 }
 
-// Follow keeps the share in step with the table until the context ends.
+// Follow keeps the share in step with the table until the context ends. A new
+// registration reads the table at once, since the entry must be confirmed
+// before more is spent.
 func (k *Keeper) Follow(ctx context.Context) error {
-	return platform.Follow(ctx, k.store, sharesKey, k)
+	for ctx.Err() == nil {
+		inner, cancel := context.WithCancel(ctx)
+		epoch := k.registrar.Epoch()
+		go func() {
+			for inner.Err() == nil && k.registrar.Epoch() == epoch {
+				duty.Pause(inner, epochPoll)
+			}
+			cancel()
+		}()
+		if err := platform.Follow(inner, k.store, sharesKey, k); err != nil {
+			cancel()
+			return err
+		}
+		cancel()
+	}
+	return nil
 }
 
 // Replace implements platform.Subscriber.
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -250,10 +250,11 @@
 func turnRefusal(err error) *Refusal {
 	var exhausted *turns.ExhaustedError
 	var foreign *turns.ForeignError
+	var absent *turns.AbsentError
 	switch {
 	case errors.As(err, &exhausted):
 		return refuse(http.StatusPaymentRequired, "%v", err)
-	case errors.As(err, &foreign):
+	case errors.As(err, &foreign), errors.As(err, &absent):
 		return refuse(http.StatusNotFound, "%v", err)
 	default:
 		return later(soon, "%v", err)
--- a/hall/turns/ask.go
+++ b/hall/turns/ask.go
@@ -95,12 +95,14 @@
 // note remembers a keeper that failed, and gives up its idle connections, which
 // may be as dead as the one that failed.
 func (c *Client) note(ctx context.Context, keeper keeping.Keeper, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return // Another keeper's answer was enough.
+	}
 	c.mutex.Lock()
 	_, was := c.suspect[keeper.Name]
-	switch {
-	case err == nil:
+	if err == nil {
 		delete(c.suspect, keeper.Name)
-	case !errors.Is(ctx.Err(), context.Canceled):
+	} else {
 		c.suspect[keeper.Name] = time.Now()
 	}
 	c.mutex.Unlock()
@@ -119,7 +121,7 @@
 // replicas returns the keepers of a placement, those that failed a moment ago
 // last.
 func (c *Client) replicas(placement string) []keeping.Keeper {
-	replicas := c.rule.Replicas(c.keepers(), placement)
+	replicas := c.rule.Replicas(c.keepers.Keepers(), placement)
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -89,6 +89,12 @@
 // Error names the turn.
 func (e *ForeignError) Error() string { return fmt.Sprintf("turn %q is not this workspace's", e.turn) }
 
+// AbsentError reports that every keeper lacks the previous turn.
+type AbsentError struct{ turn string }
+
+// Error names the turn.
+func (e *AbsentError) Error() string { return fmt.Sprintf("no turn %q exists", e.turn) }
+
 // UnavailableError reports that too few keepers answered, or that none of them
 // has the turn.
 type UnavailableError struct {
@@ -109,13 +115,21 @@
 var (
 	errNotReady   = errors.New("keeper has not caught up")
 	errNoKeepers  = errors.New("no keeper is known")
-	errTurnAbsent = errors.New("no keeper has the whole turn")
+	errIncomplete = errors.New("a keeper has the turn in part or can't tell")
 )
 
+// Keepers is the list of keepers.
+type Keepers interface {
+	// Keepers returns those that hold records.
+	Keepers() []keeping.Keeper
+	// Sources returns all, those included that are leaving.
+	Sources() []keeping.Keeper
+}
+
 // Client is safe for concurrent use.
 type Client struct {
 	rule      keeping.Rule
-	keepers   func() []keeping.Keeper
+	keepers   Keepers
 	logger    *zap.Logger
 	transport *http.Transport
 	http      *http.Client
@@ -125,8 +139,8 @@
 	suspect map[string]time.Time
 }
 
-// New returns a client; keepers returns the present list.
-func New(rule keeping.Rule, keepers func() []keeping.Keeper, own network.Network, logger *zap.Logger) *Client {
+// New returns a client.
+func New(rule keeping.Rule, keepers Keepers, own network.Network, logger *zap.Logger) *Client {
 	transport := &http.Transport{
 		DialContext: own.DialContext, MaxIdleConnsPerHost: idlePerKeeper, DisableCompression: true,
 		WriteBufferSize: 32 << 10, ReadBufferSize: 16 << 10,
@@ -272,14 +286,12 @@
 }
 
 // find looks for the previous turn at the program's keepers and then at all
-// others, since another program may have begun the chain.
+// others, since another program may have begun the chain. It is absent only if
+// every keeper says so.
 func (c *Client) find(ctx context.Context, begun *Begun) error {
-	request := &wire.FindTurnRequest{Turn: begun.turn.Previous, Workspace: begun.turn.Workspace}
-	asked := make(map[string]bool)
-	err := error(errNoKeepers)
-	for _, group := range [][]keeping.Keeper{c.replicas(begun.program), c.keepers()} {
-		var reply *wire.FindTurnReply
-		if reply, err = c.findAmong(ctx, group, asked, request); reply != nil {
+	search := &search{client: c, asked: make(map[string]bool), request: &wire.FindTurnRequest{Turn: begun.turn.Previous, Workspace: begun.turn.Workspace}}
+	for _, group := range [][]keeping.Keeper{c.replicas(begun.program), c.keepers.Sources()} {
+		if reply := search.among(ctx, group); reply != nil {
 			if reply.GetVerdict() == wire.FindVerdict_FIND_VERDICT_FOREIGN {
 				return &ForeignError{turn: begun.turn.Previous}
 			}
@@ -287,41 +299,61 @@
 			return nil
 		}
 	}
-	return &UnavailableError{operation: "find the previous turn", answered: len(asked), needed: 1, cause: err}
+	if search.err == nil && search.absent >= c.rule.Quorum() {
+		return &AbsentError{turn: begun.turn.Previous}
+	}
+	cause := search.err
+	if cause == nil {
+		cause = errNoKeepers
+	}
+	return &UnavailableError{operation: "find the previous turn", answered: search.absent, needed: len(search.asked), cause: cause}
+}
+
+// search asks keepers for one turn.
+type search struct {
+	client  *Client
+	request *wire.FindTurnRequest
+	asked   map[string]bool
+	absent  int
+	err     error // Why a keeper's answer is not certain.
 }
 
-// findAmong asks all keepers of a group at once that were not asked before.
-func (c *Client) findAmong(ctx context.Context, group []keeping.Keeper, asked map[string]bool, request *wire.FindTurnRequest) (*wire.FindTurnReply, error) {
+// among asks all keepers of a group at once that were not asked before, and
+// returns the first reply that settles the search.
+func (s *search) among(ctx context.Context, group []keeping.Keeper) *wire.FindTurnReply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	replies := make(chan result, len(group))
 	waiting := 0
 	for _, keeper := range group {
-		if asked[keeper.Name] {
+		if s.asked[keeper.Name] {
 			continue
 		}
-		asked[keeper.Name] = true
+		s.asked[keeper.Name] = true
 		waiting++
 		go func() {
-			reply, err := c.client(keeper).Find(ctx, request)
-			c.note(ctx, keeper, err)
+			reply, err := s.client.client(keeper).Find(ctx, s.request)
+			s.client.note(ctx, keeper, err)
 			replies <- result{reply: reply, err: err}
 		}()
 	}
-	err := error(errTurnAbsent)
 	for range waiting {
 		answer := <-replies
 		if answer.err != nil {
-			err = answer.err
+			s.err = answer.err
 			continue
 		}
 		reply := answer.reply.(*wire.FindTurnReply)
 		switch reply.GetVerdict() {
 		case wire.FindVerdict_FIND_VERDICT_FOUND, wire.FindVerdict_FIND_VERDICT_FOREIGN:
-			return reply, nil
+			return reply
+		case wire.FindVerdict_FIND_VERDICT_ABSENT:
+			s.absent++
+		default:
+			s.err = errIncomplete
 		}
 	}
-	return nil, err
+	return nil
 }
 
 func (b *Begun) take(found *wire.FindTurnReply) {
--- a/keeper/copies.go
+++ b/keeper/copies.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,8 +16,10 @@
 )
 
 // keepCopies copies what belongs here from the other members at the start and
-// whenever the list of members changes. A keeper that is not ready, or that was
-// taken off the list, is ready after it has copied from every other member.
+// whenever the list of members changes. A keeper whose disk is new, or that was
+// taken off the list, is ready after it has copied from every other member; one
+// that was only away is ready all the while, since its quorums meet those of
+// the others.
 func (k *Keeper) keepCopies(ctx context.Context) error {
 	copied := ""
 	for ctx.Err() == nil {
@@ -30,11 +34,7 @@
 				continue
 			}
 			copied = roster
-			if !k.ledger.Ready() {
-				turns, programs := k.ledger.Sizes()
-				k.logger.Info("keeper is ready", zap.Int("turns", turns), zap.Int("programs", programs))
-			}
-			k.ledger.SetReady(true)
+			k.becomeReady()
 		}
 		select {
 		case <-ctx.Done():
@@ -44,7 +44,17 @@
 	return nil
 }
 
-// join puts this keeper on the list and reports whether it is there.
+func (k *Keeper) becomeReady() {
+	if k.ledger.Ready() {
+		return
+	}
+	turns, programs := k.ledger.Sizes()
+	err := k.ledger.SetReady(true)
+	k.logger.Info("keeper is ready", zap.Int("turns", turns), zap.Int("programs", programs), zap.Error(err))
+}
+
+// join puts this keeper on the list and reports whether it is there. One that
+// was taken off the list has missed what the others took in its place.
 func (k *Keeper) join(ctx context.Context) bool {
 	if !k.members.Known() {
 		return false
@@ -57,9 +67,16 @@
 	if slices.ContainsFunc(k.members.Keepers(), func(m keeping.Keeper) bool {
 		return m.Name == k.options.Name && m.Address == k.options.Address
 	}) {
+		k.joined = true
 		return true
 	}
-	if err := k.members.Put(ctx, k.document()); err != nil {
+	if !k.options.FirstStart || k.joined {
+		if err := k.ledger.SetReady(false); err != nil {
+			k.logger.Error("disk not marked as incomplete", zap.Error(err))
+			return false
+		}
+	}
+	if err := k.members.Put(ctx, k.document(false)); err != nil {
 		k.logger.Warn("keeper not put on the list", zap.Error(err))
 		return false
 	}
@@ -73,17 +90,21 @@
 	for _, member := range k.members.Keepers() {
 		names = append(names, member.Name)
 	}
-	whole := true
+	var failed atomic.Bool
+	var wait sync.WaitGroup
 	for _, source := range k.members.Sources() {
 		if source.Name == k.options.Name {
 			continue
 		}
-		if err := k.copyFrom(ctx, source, names); err != nil {
-			k.logger.Warn("copy failed", zap.String("from", source.Name), zap.Error(err))
-			whole = false
-		}
+		wait.Go(func() {
+			if err := k.copyFrom(ctx, source, names); err != nil {
+				k.logger.Warn("copy failed", zap.String("from", source.Name), zap.Error(err))
+				failed.Store(true)
+			}
+		})
 	}
-	return whole
+	wait.Wait()
+	return !failed.Load()
 }
 
 func (k *Keeper) copyFrom(ctx context.Context, source keeping.Keeper, roster []string) error {
@@ -119,3 +140,68 @@
 	slices.Sort(names)
 	return strings.Join(names, " ")
 }
+
+// Retire hands everything over to the other keepers and takes this one off the
+// list. After that its disk is not needed any more.
+func (k *Keeper) Retire(ctx context.Context) error {
+	close(k.leaving)
+	if err := k.members.Put(ctx, k.document(true)); err != nil {
+		return err
+	}
+	// Halls that have seen the list choose other keepers; what others still
+	// bring meanwhile goes with the second pass.
+	for range handOverPasses {
+		duty.Pause(ctx, handOverPause)
+		for ctx.Err() == nil && !k.handOver(ctx) {
+			duty.Pause(ctx, copyPause)
+		}
+	}
+	for ctx.Err() == nil {
+		if err := k.members.Remove(ctx, k.options.Name); err == nil {
+			break
+		}
+		duty.Pause(ctx, copyPause)
+	}
+	return ctx.Err()
+}
+
+// handOver gives each remaining keeper what belongs to it, and reports whether
+// all took it.
+func (k *Keeper) handOver(ctx context.Context) bool {
+	remaining := slices.DeleteFunc(k.members.Keepers(), func(m keeping.Keeper) bool { return m.Name == k.options.Name })
+	for _, target := range remaining {
+		if err := k.giveTo(ctx, target, remaining); err != nil {
+			k.logger.Warn("records not handed over", zap.String("to", target.Name), zap.Error(err))
+			return false
+		}
+	}
+	k.logger.Info("records handed over", zap.Int("keepers", len(remaining)))
+	return true
+}
+
+func (k *Keeper) giveTo(ctx context.Context, target keeping.Keeper, remaining []keeping.Keeper) error {
+	client := wire.NewKeeperProtobufClient("http://"+target.Address, k.client)
+	var after []byte
+	for {
+		page, err := k.ledger.Page(after, func(placement string) bool {
+			return k.rule.Holds(remaining, placement, target.Name)
+		})
+		if err != nil {
+			return err
+		}
+		if err := k.give(ctx, client, page); err != nil {
+			return err
+		}
+		if len(page.GetNext()) == 0 {
+			return nil
+		}
+		after = page.GetNext()
+	}
+}
+
+func (k *Keeper) give(ctx context.Context, client wire.Keeper, page *wire.CopyReply) error {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	_, err := client.Take(ctx, page)
+	return err
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -43,6 +43,10 @@
 	copyTimeout = time.Second
 	// copyPause is the wait before a copy that failed is tried again.
 	copyPause = 100 * time.Millisecond
+	// handOverPasses is how often a leaving keeper goes through its records.
+	handOverPasses = 2
+	// handOverPause is the wait before each pass, for halls to see the list.
+	handOverPause = 300 * time.Millisecond
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 5 * time.Second
 )
@@ -78,6 +82,7 @@
 	transport *http.Transport
 	client    *http.Client
 	leaving   chan struct{}
+	joined    bool // Whether this process was on the list; it belongs to keepCopies.
 }
 
 // New opens the disk. Nothing is served before Start.
@@ -109,9 +114,11 @@
 	}
 	turns, programs := k.ledger.Sizes()
 	k.logger.Info("keeper starts", zap.String("name", k.options.Name), zap.String("address", k.options.Address),
-		zap.Int("turns", turns), zap.Int("programs", programs), zap.Bool("firstStart", k.options.FirstStart))
+		zap.Int("turns", turns), zap.Int("programs", programs), zap.Bool("firstStart", k.options.FirstStart), zap.Bool("ready", k.ledger.Ready()))
 	if k.options.FirstStart && k.ledger.Empty() {
-		k.ledger.SetReady(true)
+		if err := k.ledger.SetReady(true); err != nil {
+			return oops.In("keeper").Wrapf(err, "mark the disk as complete")
+		}
 	}
 	go k.serve(socket)
 	k.duties = duty.New(ctx, k.logger)
@@ -182,8 +189,8 @@
 	}
 }
 
-func (k *Keeper) document() keeping.MemberDocument {
-	return keeping.MemberDocument{Name: k.options.Name, Zone: k.options.Zone, Address: k.options.Address}
+func (k *Keeper) document(leaving bool) keeping.MemberDocument {
+	return keeping.MemberDocument{Name: k.options.Name, Zone: k.options.Zone, Address: k.options.Address, Leaving: leaving}
 }
 
 func (k *Keeper) expire(context.Context) {
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -11,7 +11,7 @@
 //	l, err := ledger.Open(archive, rule, logger)
 //	reply, err := l.Begin(now, request)
 //	err = l.Finish(now, request)
-//	l.SetReady(true)
+//	err = l.SetReady(true)
 package ledger
 
 import (
@@ -30,7 +30,9 @@
 const (
 	turnPrefix        = "t/"
 	reservationPrefix = "r/"
-	separator         = "\x00"
+	// completeKey marks a disk that had all that belonged to it.
+	completeKey = "complete"
+	separator   = "\x00"
 	// spareRetention is the part of a record's retention that is added on disk,
 	// so that a chain in use is not written anew with each turn.
 	spareRetention = 1
@@ -38,6 +40,9 @@
 	maxChain = 4096
 )
 
+// never is the expiry of records that are kept for good.
+var never = time.Unix(1<<40, 0)
+
 // turnEntry is what is held in memory of a stored turn.
 type turnEntry struct {
 	previous  string
@@ -90,8 +95,23 @@
 	return len(l.turns), len(l.programs)
 }
 
-// SetReady says whether this keeper has all that belongs to it.
-func (l *Ledger) SetReady(ready bool) { l.ready.Store(ready) }
+// SetReady says whether this keeper has all that belongs to it. The disk
+// remembers it: after a restart a keeper lacks only what it never promised to
+// hold.
+func (l *Ledger) SetReady(ready bool) error {
+	if ready == l.ready.Load() {
+		return nil
+	}
+	value := []byte{0}
+	if ready {
+		value[0] = 1
+	}
+	if err := l.archive.Store(archive.Record{Key: completeKey, Value: value, Expires: never}); err != nil {
+		return err
+	}
+	l.ready.Store(ready)
+	return nil
+}
 
 // Ready reports whether this keeper has all that belongs to it.
 func (l *Ledger) Ready() bool { return l.ready.Load() }
@@ -312,6 +332,8 @@
 
 func (l *Ledger) load(record archive.Record) {
 	switch {
+	case record.Key == completeKey:
+		l.ready.Store(len(record.Value) == 1 && record.Value[0] == 1)
 	case strings.HasPrefix(record.Key, turnPrefix):
 		turn := &wire.Turn{}
 		if err := proto.Unmarshal(record.Value, turn); err != nil {
--- a/kernel/keeping/members.go
+++ b/kernel/keeping/members.go
@@ -38,6 +38,10 @@
 	LivePrefix = membersPrefix + "live/"
 )
 
+// putTimeout bounds the writing of a member; the caller looks at the list again
+// before it tries once more.
+const putTimeout = time.Second
+
 // MemberDocument is a member in its stored form. Leaving members hand their
 // records to the others and take no new ones.
 type MemberDocument struct {
@@ -161,24 +165,16 @@
 	return names
 }
 
-// Put writes a member under the condition that nobody else changed it.
+// Put writes a member, whatever the list says of it. Each member has one
+// writer.
 func (m *Members) Put(ctx context.Context, document MemberDocument) error {
 	value, err := json.Marshal(document)
 	if err != nil {
 		return err
 	}
-	version := uint64(0)
-	entry, err := m.store.Get(ctx, memberPrefix+document.Name)
-	switch {
-	case err == nil && string(entry.Value) == string(value):
-		return nil
-	case err == nil:
-		version = entry.Version
-	case !platform.IsNotFound(err):
-		return err
-	}
-	_, err = m.store.CompareAndSwap(ctx, memberPrefix+document.Name, value, version, 0)
-	return err
+	ctx, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	return platform.Put(ctx, m.store, memberPrefix+document.Name, value)
 }
 
 // Remove takes a member off the list unless it has changed since.
