Use a workspace's whole rate; share rates anew at once after a restart

Cause: with five halls a fifth of a row was refused wrongly. Each hall borrowed for the whole row's rate ahead, and what it did not spend in 400 ms was lost to all (measured: 60 to 80 tokens a second lent of a row of 50). First turns took tokens that begun programs then lacked. After a restart of all halls, lost races for the share table were run again after 300 ms and one hall waited for 1.4 s.

Changed: a hall borrows by its own demand; first turns borrow once and leave tokens for programs that have begun; part of the stated tolerance is handed out; the token of a request that reached no server comes back; a lost race is run again within 30 ms.

--- a/hall/allowance/allowance.go
+++ b/hall/allowance/allowance.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	a := allowance.New(identity, follower, lenders, tenure, logger)
-//	if err := a.Admit(ctx, "kovacs-counter"); err != nil { refuse }
+//	if err := a.Admit(ctx, "kovacs-counter", allowance.Continuing); err != nil { refuse }
 package allowance
 
 import (
@@ -30,6 +30,9 @@
 	retryWait = 50 * time.Millisecond
 	// dryPause is how long lenders that had nothing are not asked again.
 	dryPause = 100 * time.Millisecond
+	// firstReserve is the part of the own burst that first turns leave for
+	// programs that have begun.
+	firstReserve = 0.3
 	// minPause keeps rounding from making the pause nothing.
 	minPause = time.Millisecond
 	// minHint is the least retry hint of a refusal.
@@ -38,6 +41,18 @@
 	maxHint = 10 * time.Second
 )
 
+// Urgency says what is lost with a refusal.
+type Urgency int
+
+const (
+	// Continuing requests belong to a program that has begun, whose work so far
+	// is lost with them. They wait for a token that falls due soon.
+	Continuing Urgency = iota
+	// First requests begin a program. They leave tokens for the others and are
+	// refused at once.
+	First
+)
+
 // Lenders asks other halls for tokens.
 type Lenders interface {
 	// Borrow asks the lenders for up to wanted tokens in total, which go into
@@ -109,9 +124,9 @@
 // Parts returns this hall's parts of limit.WholeParts.
 func (a *Allowance) Parts() int64 { return int64(a.share.Load()) }
 
-// Admit spends one token of the workspace, waiting for it up to a bound. The
-// error is a rateLimited failure with a hint when to come back.
-func (a *Allowance) Admit(ctx context.Context, workspace string) error {
+// Admit spends one token of the workspace. A request that may wait does so up
+// to a bound. The error is a rateLimited failure with a hint when to come back.
+func (a *Allowance) Admit(ctx context.Context, workspace string, urgency Urgency) error {
 	known, found := a.find(workspace)
 	if !found {
 		return failure.New(failure.CodeForbidden, failure.NotRun, "workspace %q has no row in the table", workspace)
@@ -120,12 +135,38 @@
 	if !a.valid(now) {
 		return failure.New(failure.CodeConfigurationOld, failure.NotRun, "this entry can't prove its share of the rate now: use another entry").WithRetryAfter(time.Second)
 	}
-	if known.bucket.Take(now) {
+	reserve := 0.0
+	if urgency == First {
+		reserve = firstReserve * known.bucket.Capacity(now)
+	}
+	if known.bucket.TakeAbove(now, reserve) {
 		return nil
 	}
+	if urgency == First {
+		return a.admitFirst(ctx, workspace, known)
+	}
 	return a.admitLater(ctx, workspace, known, now.Add(maxWait))
 }
 
+// admitFirst borrows once and refuses if that is not enough, or if begun
+// programs wait.
+func (a *Allowance) admitFirst(ctx context.Context, workspace string, known *entry) error {
+	if known.waiting.Load() == 0 {
+		a.borrow(ctx, workspace, known, 1)
+		if now := a.now(); a.valid(now) && known.waiting.Load() == 0 && known.bucket.Take(now) {
+			return nil
+		}
+	}
+	return refusal(workspace, known, a.now())
+}
+
+// Return gives back the token of a request that reached no backend server.
+func (a *Allowance) Return(workspace string) {
+	if known, found := a.find(workspace); found {
+		known.bucket.Return(a.now())
+	}
+}
+
 // Lend gives tokens of a workspace to another hall, which names the loans that
 // it has spent. A hall whose own requests wait keeps what it has.
 func (a *Allowance) Lend(workspace string, wanted float64, settled []uint64) limit.Loan {
@@ -157,7 +198,7 @@
 		return refusal(workspace, known, a.now())
 	}
 	for {
-		a.borrow(ctx, workspace, known)
+		a.borrow(ctx, workspace, known, known.waiting.Load())
 		now := a.now()
 		if !a.valid(now) {
 			return failure.New(failure.CodeConfigurationOld, failure.NotRun, "this entry can't prove its share of the rate now: use another entry")
@@ -178,7 +219,7 @@
 
 // borrow asks the lenders, one request of a workspace at a time: what it brings
 // serves the others that wait.
-func (a *Allowance) borrow(ctx context.Context, workspace string, known *entry) {
+func (a *Allowance) borrow(ctx context.Context, workspace string, known *entry, requests int64) {
 	select {
 	case known.asking <- struct{}{}:
 		defer func() { <-known.asking }()
@@ -186,7 +227,7 @@
 		return
 	}
 	now := a.now()
-	wanted := known.bucket.Wanted(now, int(known.waiting.Load()))
+	wanted := known.bucket.Wanted(now, int(requests))
 	if wanted <= 0 || now.UnixNano() < known.dry.Load() {
 		return
 	}
--- a/hall/allowance/keeper.go
+++ b/hall/allowance/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	giveInterval = time.Second
 	// deadInterval is the pause between two looks for dead holders.
 	deadInterval = 5 * time.Second
+	// racePause is the longest wait after a lost race.
+	racePause = 30 * time.Millisecond
 	// epochPoll is the pause between two looks for a new registration.
 	epochPoll = 50 * time.Millisecond
 )
@@ -191,15 +194,26 @@
 }
 
 // confirm proves that this hall still holds its entry under its present
-// registration, and that no earlier write of its own can still arrive. The
-// new table comes back through the watch.
+// registration, and that no earlier write of its own can still arrive. Halls
+// that start together change the table at the same moment, so a lost race is
+// run again at once. The new table comes back through the watch.
 func (k *Keeper) confirm(ctx context.Context) error {
 	epoch := k.registrar.Epoch()
 	if epoch == 0 {
 		return errors.New("not registered as a holder yet")
 	}
-	if err := k.save(ctx, k.shares.Confirm(k.hall, k.incarnation), k.version); err != nil {
-		return err
+	for {
+		err := k.save(ctx, k.shares.Confirm(k.hall, k.incarnation), k.version)
+		if err == nil {
+			break
+		}
+		if !platform.IsConflict(err) {
+			return err
+		}
+		duty.Pause(ctx, time.Duration(rand.Int64N(int64(racePause))))
+		if k.shares, k.version, err = k.load(ctx); err != nil {
+			return err
+		}
 	}
 	k.mustConfirm = false
 	k.confirmed.Store(epoch)
--- a/hall/entry/chat.go
+++ b/hall/entry/chat.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
+	"limpethall.dev/hall/allowance"
 	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/wire"
 )
@@ -19,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	if err := e.Allowance.Admit(ctx, r.workspace); err != nil {
+	if err := e.Allowance.Admit(ctx, r.workspace, allowance.Continuing); err != nil {
 		return err
 	}
 	turn := &wire.TurnRequest{RequestId: r.id, Workspace: r.workspace, Model: model, Idempotent: true, Stream: call.Stream}
@@ -36,7 +37,7 @@
 	if call.Ticket == "" {
 		return badRequest("ticket is missing: send the one of the last answer of this program")
 	}
-	if err := e.Allowance.Admit(ctx, r.workspace); err != nil {
+	if err := e.Allowance.Admit(ctx, r.workspace, allowance.Continuing); err != nil {
 		return err
 	}
 	programID := c.Param("program")
--- a/hall/entry/service.go
+++ b/hall/entry/service.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/google/uuid"
 
+	"limpethall.dev/hall/allowance"
 	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/table"
 	"limpethall.dev/kernel/wire"
@@ -40,7 +41,7 @@
 		if !found {
 			return failure.New(failure.CodeNotFound, failure.NotRun, "there is no service %q", name)
 		}
-		if err := e.Allowance.Admit(ctx, r.workspace); err != nil {
+		if err := e.Allowance.Admit(ctx, r.workspace, allowance.Continuing); err != nil {
 			return err
 		}
 		return e.runService(ctx, c, r, name, path, route)
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -20,8 +20,10 @@
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
+	"limpethall.dev/hall/allowance"
 	"limpethall.dev/hall/balance"
 	"limpethall.dev/hall/turns"
 	"limpethall.dev/kernel/catalog"
@@ -41,12 +43,16 @@
 	soon = 100 * time.Millisecond
 	// leastRemaining is the time below which a request is not sent any more.
 	leastRemaining = 5 * time.Millisecond
+	// rememberedPrograms bounds the memory of which programs have begun.
+	rememberedPrograms = 8192
 )
 
 // Admitter admits requests within their workspace's rate.
 type Admitter interface {
 	// Admit returns a *failure.Error if the request is over the rate.
-	Admit(ctx context.Context, workspace string) error
+	Admit(ctx context.Context, workspace string, urgency allowance.Urgency) error
+	// Return gives back what a request took that reached no backend server.
+	Return(workspace string)
 }
 
 // Turns reserves and stores the turns of programs.
@@ -74,10 +80,17 @@
 type Gateway struct {
 	options Options
 	active  atomic.Int64
+	begun   *lru.Cache[string, struct{}] // Programs of which a request was admitted here.
 }
 
 // New returns a gateway.
-func New(options Options) *Gateway { return &Gateway{options: options} }
+func New(options Options) *Gateway {
+	begun, err := lru.New[string, struct{}](rememberedPrograms)
+	if err != nil {
+		panic(err) // The size is a positive constant.
+	}
+	return &Gateway{options: options, begun: begun}
+}
 
 // Active returns how many requests are being served.
 func (g *Gateway) Active() int64 { return g.active.Load() }
@@ -91,6 +104,7 @@
 	defer c.log()
 	if refusal := c.serve(ctx); refusal != nil {
 		c.refused = refusal
+		c.returnToken()
 		refusal.write(w)
 	}
 	if c.aborted != nil {
@@ -112,15 +126,16 @@
 	key       string // Of the history, for the choice of a server.
 	deadline  time.Time
 
-	tried   map[string]bool
-	last    *balance.Choice
-	sends   int
-	runs    int // Sends after which the request may have run.
-	status  int // Of the answer that was passed on.
-	refused *Refusal
-	aborted error
-	begins  time.Duration // How long the keepers took.
-	first   time.Duration // When the answer began.
+	admitted bool // Whether the request counts towards its workspace's rate.
+	tried    map[string]bool
+	last     *balance.Choice
+	sends    int
+	runs     int // Sends after which the request may have run.
+	status   int // Of the answer that was passed on.
+	refused  *Refusal
+	aborted  error
+	begins   time.Duration // How long the keepers took.
+	first    time.Duration // When the answer began.
 }
 
 func (c *call) serve(ctx context.Context) *Refusal {
@@ -162,10 +177,12 @@
 	if c.workspace == nil || c.workspace.Rate <= 0 {
 		return nil
 	}
-	err := c.gateway.options.Admitter.Admit(ctx, c.workspace.Name)
+	err := c.gateway.options.Admitter.Admit(ctx, c.workspace.Name, c.urgency())
 	var refused *failure.Error
 	switch {
 	case err == nil:
+		c.admitted = true
+		c.rememberProgram()
 		return nil
 	case errors.As(err, &refused) && refused.Code() == failure.CodeRateLimited:
 		refusal := refuse(http.StatusTooManyRequests, "workspace %s is over its rate", c.workspace.Name)
@@ -176,6 +193,27 @@
 	}
 }
 
+// urgency tells a program's first turn from the rest. A turn that continues
+// another is known by that; for the others this hall remembers the programs.
+func (c *call) urgency() allowance.Urgency {
+	if c.route.Kind != catalog.KindStream || c.request.Previous != "" || c.gateway.begun.Contains(c.request.Program) {
+		return allowance.Continuing
+	}
+	return allowance.First
+}
+
+func (c *call) returnToken() {
+	if c.admitted && c.sends == 0 {
+		c.gateway.options.Admitter.Return(c.workspace.Name)
+	}
+}
+
+func (c *call) rememberProgram() {
+	if c.request.Program != "" {
+		c.gateway.begun.Add(c.request.Program, struct{}{})
+	}
+}
+
 func (c *call) authenticate() *Refusal {
 	workspace, found := c.catalog.WorkspaceByKey(c.request.Key)
 	if found && c.request.Key != "" {
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -190,20 +190,42 @@
 	return service, found
 }
 
+// Workspace returns a workspace by name.
+func (c *Catalog) Workspace(name string) (*Workspace, bool) {
+	workspace, found := c.workspaces[name]
+	return workspace, found
+}
+
 // WorkspaceByKey returns the workspace that holds a key.
 func (c *Catalog) WorkspaceByKey(key string) (*Workspace, bool) {
 	workspace, found := c.keys[key]
 	return workspace, found
 }
 
+// Tolerance is by how much a workspace may pass its rate over all hosts in any
+// span of time.
+type Tolerance struct {
+	// Part is added to rate and burst, as a part of them.
+	Part float64
+	// Requests are added to the burst.
+	Requests float64
+}
+
+// toleranceUse is the part of the tolerance that is handed out. The rest covers
+// requests that were admitted before a span and arrive in it.
+const toleranceUse = 0.6
+
 // Rows returns the rows that bound each workspace's rate. A workspace without a
-// rate has no row.
-func (c *Catalog) Rows() []table.Row {
+// rate has no row. Part of the tolerance is handed out, since what one host
+// holds back for its callers, others would refuse wrongly.
+func (c *Catalog) Rows(tolerance Tolerance) []table.Row {
 	var rows []table.Row
+	factor := 1 + toleranceUse*tolerance.Part
 	for index := range c.document.Workspaces {
 		workspace := &c.document.Workspaces[index]
 		if workspace.Rate > 0 {
-			rows = append(rows, table.NewRow(workspace.Name, 1, workspace.Rate, workspace.Burst, 0, nil))
+			burst := int64(float64(workspace.Burst)*factor + toleranceUse*tolerance.Requests)
+			rows = append(rows, table.NewRow(workspace.Name, 1, workspace.Rate*factor, burst, 0, nil))
 		}
 	}
 	return rows
--- a/kernel/limit/bucket.go
+++ b/kernel/limit/bucket.go
@@ -22,6 +22,7 @@
 package limit
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -31,6 +32,9 @@
 // borrower from when it asked and by the lender from when it gave.
 const LoanLength = 400 * time.Millisecond
 
+// demandMemory is the time over which this hall's own demand is averaged.
+const demandMemory = time.Second
+
 // maxLoans bounds the open loans of one bucket; further ones are refused.
 const maxLoans = 64
 
@@ -75,6 +79,8 @@
 	borrowed []timedLoan
 	spent    []timedLoan // Loans of others that are used up and not yet reported.
 	lastLoan uint64
+	demand   float64 // Tokens asked for here a second, averaged.
+	asked    time.Time
 }
 
 // NewBucket returns an empty bucket without a share. It begins to refill once
@@ -116,8 +122,21 @@
 func (b *Bucket) Take(now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	return b.take(now, 0)
+}
+
+// TakeAbove spends one token if so many are left after it. It counts as demand
+// once for each request; a request that waits uses Take from then on.
+func (b *Bucket) TakeAbove(now time.Time, reserve float64) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.noteDemand(now)
+	return b.take(now, reserve)
+}
+
+func (b *Bucket) take(now time.Time, reserve float64) bool {
 	b.refill(now)
-	if b.tokens+sum(b.borrowed) < 1 {
+	if b.tokens+sum(b.borrowed) < 1+reserve {
 		return false
 	}
 	missing := 1.0
@@ -135,6 +154,15 @@
 	return true
 }
 
+// Return gives back a token that was taken and not used.
+func (b *Bucket) Return(now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	b.tokens++
+	b.clip()
+}
+
 // Wait returns how long until own refill alone holds a whole token.
 func (b *Bucket) Wait(now time.Time) time.Duration {
 	b.mutex.Lock()
@@ -163,12 +191,14 @@
 }
 
 // Wanted returns how many tokens to borrow for n requests that wait and for
-// those to be expected during a loan at the row's rate.
+// those to be expected during half a loan beyond the own refill. What is
+// borrowed and not spent is lost to all.
 func (b *Bucket) Wanted(now time.Time, n int) float64 {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.refill(now)
-	ahead := b.rate * (1 - b.share) * LoanLength.Seconds() / 2
+	b.fadeDemand(now)
+	ahead := max(0, b.demand-b.rate*b.share) * LoanLength.Seconds() / 2
 	return float64(n) + ahead - b.tokens - sum(b.borrowed)
 }
 
@@ -228,6 +258,14 @@
 	return b.tokens + sum(b.borrowed)
 }
 
+// Capacity returns the most tokens of its own that this hall may hold.
+func (b *Bucket) Capacity(now time.Time) float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(now)
+	return b.capacity()
+}
+
 // Rate returns this hall's part of the rate in tokens per second.
 func (b *Bucket) Rate() float64 {
 	b.mutex.Lock()
@@ -256,6 +294,19 @@
 	}
 }
 
+// noteDemand counts one request.
+func (b *Bucket) noteDemand(now time.Time) {
+	b.fadeDemand(now)
+	b.demand += 1 / demandMemory.Seconds()
+}
+
+func (b *Bucket) fadeDemand(now time.Time) {
+	if age := now.Sub(b.asked); age > 0 {
+		b.demand *= math.Exp(-age.Seconds() / demandMemory.Seconds())
+		b.asked = now
+	}
+}
+
 func (b *Bucket) advance(to time.Time) {
 	if to.After(b.updated) {
 		b.tokens += b.rate * b.share * to.Sub(b.updated).Seconds()
--- a/kernel/network/network.go
+++ b/kernel/network/network.go
@@ -14,8 +14,14 @@
 	"time"
 )
 
-// dialTimeout bounds the opening of a connection.
-const dialTimeout = 500 * time.Millisecond
+const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 500 * time.Millisecond
+	// probeInterval and probeCount find connections that went silent for good: a
+	// peer that lives answers the system's probes.
+	probeInterval = time.Second
+	probeCount    = 2
+)
 
 // Network opens and accepts connections for one process.
 type Network interface {
@@ -25,6 +31,8 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+var probes = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
+
 // TCP is the network of the operating system.
 type TCP struct{}
 
@@ -35,5 +43,5 @@
 
 // DialContext implements Network.
 func (TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	return (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes}).DialContext(ctx, network, address)
 }
