Fence reservations by the list of keepers; halls without keepers are not ready

Reservations now name the list that they were placed by; a keeper with a newer one refuses and shows it, a keeper that copies brings its list along, and what a change brings to a keeper is not answered for before it is copied.

--- a/hall/turns/ask.go
+++ b/hall/turns/ask.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/keeping"
 	"limpethall.dev/kernel/wire"
 )
@@ -95,8 +97,8 @@
 // note remembers a keeper that failed, and gives up its idle connections, which
 // may be as dead as the one that failed.
 func (c *Client) note(ctx context.Context, keeper keeping.Keeper, err error) {
-	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
-		return // Another keeper's answer was enough.
+	if errors.Is(err, errStaleList) || (err != nil && errors.Is(ctx.Err(), context.Canceled)) {
+		return // The keeper is well, or another one's answer was enough.
 	}
 	c.mutex.Lock()
 	_, was := c.suspect[keeper.Name]
@@ -118,26 +120,74 @@
 	}
 }
 
-// replicas returns the keepers of a placement, those that failed a moment ago
-// last.
+// replicas returns the keepers of a placement, those that do not answer last.
 func (c *Client) replicas(placement string) []keeping.Keeper {
-	replicas := c.rule.Replicas(c.keepers.Keepers(), placement)
-	now := time.Now()
+	replicas := c.rule.Replicas(c.keepers.List().Holding(), placement)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	slices.SortStableFunc(replicas, func(a, b keeping.Keeper) int {
-		return c.suspicion(a, now) - c.suspicion(b, now)
+		return c.suspicion(a) - c.suspicion(b)
 	})
 	return replicas
 }
 
-func (c *Client) suspicion(keeper keeping.Keeper, now time.Time) int {
-	if at, found := c.suspect[keeper.Name]; found && now.Sub(at) < suspectTime {
+// suspicion is 1 for a keeper that failed and has not answered since; the mutex
+// is held.
+func (c *Client) suspicion(keeper keeping.Keeper) int {
+	if _, found := c.suspect[keeper.Name]; found {
 		return 1
 	}
 	return 0
 }
 
+// Reachable reports whether enough keepers answer this hall to begin a turn. A
+// hall without that should not be sent any.
+func (c *Client) Reachable() bool {
+	answering := 0
+	holding := c.keepers.List().Holding()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, keeper := range holding {
+		answering += 1 - c.suspicion(keeper)
+	}
+	return answering >= min(c.rule.Quorum(), max(1, len(holding)))
+}
+
+// Probe asks the keepers that failed until they answer again. It runs until the
+// context ends.
+func (c *Client) Probe(ctx context.Context) error {
+	for ctx.Err() == nil {
+		duty.Pause(ctx, probePause)
+		for _, keeper := range c.suspects() {
+			go func() {
+				own, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				_, err := c.client(keeper).Find(own, &wire.FindTurnRequest{})
+				c.note(own, keeper, err)
+			}()
+		}
+	}
+	return nil
+}
+
+// suspects returns the listed keepers that do not answer, and forgets those
+// that are no longer listed.
+func (c *Client) suspects() []keeping.Keeper {
+	var found []keeping.Keeper
+	all := c.keepers.List().All()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, keeper := range all {
+		if c.suspicion(keeper) > 0 {
+			found = append(found, keeper)
+		}
+	}
+	maps.DeleteFunc(c.suspect, func(name string, _ time.Time) bool {
+		return !slices.ContainsFunc(all, func(k keeping.Keeper) bool { return k.Name == name })
+	})
+	return found
+}
+
 func (c *Client) client(keeper keeping.Keeper) wire.Keeper {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -9,6 +9,7 @@
 // # Usage
 //
 //	client := turns.New(rule, keepers, network, logger)
+//	group.Go("keepers that failed", client.Probe)
 //	begun, err := client.Begin(ctx, turns.Turn{Program: "3fa8", ID: "e5b2", …})
 //	err = client.Finish(ctx, begun, tokens, output)
 package turns
@@ -33,8 +34,10 @@
 	callTimeout = 800 * time.Millisecond
 	// hedgeDelay is the silence after which the next replica is asked too.
 	hedgeDelay = 120 * time.Millisecond
-	// suspectTime is how long a keeper that failed is asked last.
-	suspectTime = time.Second
+	// probePause is the wait between two questions to a keeper that failed.
+	probePause = 150 * time.Millisecond
+	// probeTimeout bounds such a question.
+	probeTimeout = 400 * time.Millisecond
 	// settleTimeout bounds a settlement that nobody waits for.
 	settleTimeout = 2 * time.Second
 	// idlePerKeeper is how many connections to a keeper are kept.
@@ -113,17 +116,19 @@
 func (e *UnavailableError) Unwrap() error { return e.cause }
 
 var (
-	errNotReady   = errors.New("keeper has not caught up")
-	errNoKeepers  = errors.New("no keeper is known")
-	errIncomplete = errors.New("a keeper has the turn in part or can't tell")
+	errStaleList   = errors.New("keeper has a newer list of keepers")
+	errNotReady    = errors.New("keeper has not caught up")
+	errUnreachable = errors.New("this hall reaches too few keepers")
+	errNoKeepers   = errors.New("no keeper is known")
+	errIncomplete  = errors.New("a keeper has the turn in part or can't tell")
 )
 
 // Keepers is the list of keepers.
 type Keepers interface {
-	// Keepers returns those that hold records.
-	Keepers() []keeping.Keeper
-	// Sources returns all, those included that are leaving.
-	Sources() []keeping.Keeper
+	// List returns the newest list.
+	List() *keeping.List
+	// Adopt takes over a newer list.
+	Adopt(list *keeping.List)
 }
 
 // Client is safe for concurrent use.
@@ -154,6 +159,9 @@
 // Begin reserves the turn's tokens on a quorum and fetches its history. The
 // error is an *ExhaustedError, a *ForeignError or an *UnavailableError.
 func (c *Client) Begin(ctx context.Context, turn Turn) (*Begun, error) {
+	if !c.Reachable() {
+		return nil, &UnavailableError{operation: "begin the turn", needed: c.rule.Quorum(), cause: errUnreachable}
+	}
 	program := turn.Workspace + "/" + turn.Program
 	begun := &Begun{turn: turn, program: program, placement: program}
 	if turn.Budget > 0 {
@@ -238,25 +246,47 @@
 		zap.String("program", begun.program), zap.Int("keepers", settled))
 }
 
-// reserve asks a quorum to admit the turn. Where keepers disagree, the majority
-// of the replicas decides.
+// reserve asks a quorum to admit the turn, once more if the list of keepers was
+// out of date.
 func (c *Client) reserve(ctx context.Context, begun *Begun) error {
+	err := c.reserveOnce(ctx, begun)
+	if errors.Is(err, errStaleList) {
+		err = c.reserveOnce(ctx, begun)
+	}
+	if errors.Is(err, errStaleList) {
+		c.Settle(begun, 0)
+		return &UnavailableError{operation: "reserve tokens", needed: c.rule.Quorum(), cause: err}
+	}
+	return err
+}
+
+// reserveOnce asks by the present list. Where keepers disagree, the majority of
+// the replicas decides.
+func (c *Client) reserveOnce(ctx context.Context, begun *Begun) error {
 	turn := begun.turn
 	request := &wire.BeginTurnRequest{
 		Reservation: begun.reservation(turn.MaxTokens, false), Budget: turn.Budget,
 		Workspace: turn.Workspace, Previous: turn.Previous, WantHistory: turn.Previous != "",
+		Keepers: c.keepers.List().Wire(false),
 	}
 	results := c.ask(ctx, begun.program, func(ctx context.Context, keeper wire.Keeper) (any, error) {
 		reply, err := keeper.Begin(ctx, request)
-		if err == nil && reply.GetVerdict() == wire.BeginVerdict_BEGIN_VERDICT_NOT_READY {
+		switch {
+		case err != nil:
+			return nil, err
+		case reply.GetVerdict() == wire.BeginVerdict_BEGIN_VERDICT_NOT_READY:
 			return nil, errNotReady
+		case reply.GetVerdict() == wire.BeginVerdict_BEGIN_VERDICT_STALE_LIST:
+			c.keepers.Adopt(keeping.ListFromWire(reply.GetKeepers()))
+			return nil, errStaleList
 		}
-		return reply, err
+		return reply, nil
 	})
-	admitted, exhausted, spent, err := 0, 0, int64(0), error(errNoKeepers)
+	admitted, exhausted, spent, stale, err := 0, 0, int64(0), false, error(errNoKeepers)
 	for result := range results.replies {
 		if result.err != nil {
 			err = result.err
+			stale = stale || errors.Is(err, errStaleList)
 			continue
 		}
 		reply := result.reply.(*wire.BeginTurnReply)
@@ -274,6 +304,8 @@
 		}
 	}
 	switch {
+	case stale:
+		return errStaleList
 	case admitted >= c.rule.Quorum():
 		return nil
 	case exhausted > 0:
@@ -290,7 +322,7 @@
 // every keeper says so.
 func (c *Client) find(ctx context.Context, begun *Begun) error {
 	search := &search{client: c, asked: make(map[string]bool), request: &wire.FindTurnRequest{Turn: begun.turn.Previous, Workspace: begun.turn.Workspace}}
-	for _, group := range [][]keeping.Keeper{c.replicas(begun.program), c.keepers.Sources()} {
+	for _, group := range [][]keeping.Keeper{c.replicas(begun.program), c.keepers.List().All()} {
 		if reply := search.among(ctx, group); reply != nil {
 			if reply.GetVerdict() == wire.FindVerdict_FIND_VERDICT_FOREIGN {
 				return &ForeignError{turn: begun.turn.Previous}
--- a/keeper/copies.go
+++ b/keeper/copies.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,21 +18,24 @@
 // whenever the list of members changes. A keeper whose disk is new, or that was
 // taken off the list, is ready after it has copied from every other member; one
 // that was only away is ready all the while, since its quorums meet those of
-// the others.
+// the others. What a change of the list brings here is not answered for before
+// it is copied.
 func (k *Keeper) keepCopies(ctx context.Context) error {
-	copied := ""
+	var copied *keeping.List
 	for ctx.Err() == nil {
 		if !k.join(ctx) {
 			duty.Pause(ctx, copyPause)
 			continue
 		}
-		roster := rosterText(k.members.Keepers())
-		if roster != copied || !k.ledger.Ready() {
-			if !k.copyFromAll(ctx) {
+		list := k.members.List()
+		if copied == nil || list.Digest() != copied.Digest() || !k.ledger.Ready() {
+			k.markLacking(copied, list)
+			if !k.copyFromAll(ctx, list) {
 				duty.Pause(ctx, copyPause)
 				continue
 			}
-			copied = roster
+			copied = list
+			k.ledger.SetLacking(nil)
 			k.becomeReady()
 		}
 		select {
@@ -44,6 +46,17 @@
 	return nil
 }
 
+// markLacking keeps the ledger from answering for placements that this keeper
+// did not hold by the list that it has copied for.
+func (k *Keeper) markLacking(copied, list *keeping.List) {
+	if copied == nil {
+		return
+	}
+	k.ledger.SetLacking(func(placement string) bool {
+		return k.rule.Holds(list.Holding(), placement, k.options.Name) && !k.rule.Holds(copied.Holding(), placement, k.options.Name)
+	})
+}
+
 func (k *Keeper) becomeReady() {
 	if k.ledger.Ready() {
 		return
@@ -64,7 +77,7 @@
 		return true
 	default:
 	}
-	if slices.ContainsFunc(k.members.Keepers(), func(m keeping.Keeper) bool {
+	if slices.ContainsFunc(k.members.List().Holding(), func(m keeping.Keeper) bool {
 		return m.Name == k.options.Name && m.Address == k.options.Address
 	}) {
 		k.joined = true
@@ -85,19 +98,15 @@
 }
 
 // copyFromAll reports whether every other member gave all it has for this one.
-func (k *Keeper) copyFromAll(ctx context.Context) bool {
-	var names []string
-	for _, member := range k.members.Keepers() {
-		names = append(names, member.Name)
-	}
+func (k *Keeper) copyFromAll(ctx context.Context, list *keeping.List) bool {
 	var failed atomic.Bool
 	var wait sync.WaitGroup
-	for _, source := range k.members.Sources() {
+	for _, source := range list.All() {
 		if source.Name == k.options.Name {
 			continue
 		}
 		wait.Go(func() {
-			if err := k.copyFrom(ctx, source, names); err != nil {
+			if err := k.copyFrom(ctx, source, list); err != nil {
 				k.logger.Warn("copy failed", zap.String("from", source.Name), zap.Error(err))
 				failed.Store(true)
 			}
@@ -107,9 +116,9 @@
 	return !failed.Load()
 }
 
-func (k *Keeper) copyFrom(ctx context.Context, source keeping.Keeper, roster []string) error {
+func (k *Keeper) copyFrom(ctx context.Context, source keeping.Keeper, list *keeping.List) error {
 	client := wire.NewKeeperProtobufClient("http://"+source.Address, k.client)
-	request := &wire.CopyRequest{Keeper: k.options.Name, Roster: roster}
+	request := &wire.CopyRequest{Keeper: k.options.Name, Keepers: list.Wire(true)}
 	for {
 		page, err := k.page(ctx, client, request)
 		if err != nil {
@@ -132,15 +141,6 @@
 	return client.Copy(ctx, request)
 }
 
-func rosterText(keepers []keeping.Keeper) string {
-	names := make([]string, 0, len(keepers))
-	for _, keeper := range keepers {
-		names = append(names, keeper.Name+"@"+keeper.Address)
-	}
-	slices.Sort(names)
-	return strings.Join(names, " ")
-}
-
 // Retire hands everything over to the other keepers and takes this one off the
 // list. After that its disk is not needed any more.
 func (k *Keeper) Retire(ctx context.Context) error {
@@ -168,7 +168,7 @@
 // handOver gives each remaining keeper what belongs to it, and reports whether
 // all took it.
 func (k *Keeper) handOver(ctx context.Context) bool {
-	remaining := slices.DeleteFunc(k.members.Keepers(), func(m keeping.Keeper) bool { return m.Name == k.options.Name })
+	remaining := slices.DeleteFunc(slices.Clone(k.members.List().Holding()), func(m keeping.Keeper) bool { return m.Name == k.options.Name })
 	for _, target := range remaining {
 		if err := k.giveTo(ctx, target, remaining); err != nil {
 			k.logger.Warn("records not handed over", zap.String("to", target.Name), zap.Error(err))
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -142,8 +142,14 @@
 // Ready reports whether this keeper has all that belongs to it.
 func (k *Keeper) Ready() bool { return k.ledger.Ready() }
 
-// Begin implements wire.Keeper.
+// Begin implements wire.Keeper. A hall that chose its keepers by an older list
+// gets the present one instead of a reservation, so that any two quorums in use
+// meet.
 func (k *Keeper) Begin(_ context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
+	list := k.members.List()
+	if used := request.GetKeepers(); used.GetDigest() != list.Digest() && used.GetStoreRevision() < list.Revision() {
+		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_STALE_LIST, Keepers: list.Wire(true)}, nil
+	}
 	return k.ledger.Begin(time.Now(), request)
 }
 
@@ -157,24 +163,13 @@
 	return k.ledger.Find(request.GetTurn(), request.GetWorkspace())
 }
 
-// Copy implements wire.Keeper.
+// Copy implements wire.Keeper. The list of the asking keeper is taken over if it
+// is newer: what is reserved here after that is reserved by the newer list.
 func (k *Keeper) Copy(_ context.Context, request *wire.CopyRequest) (*wire.CopyReply, error) {
-	roster := k.members.Sources()
-	asked := make([]keeping.Keeper, 0, len(request.GetRoster()))
-	for _, name := range request.GetRoster() {
-		for _, member := range roster {
-			if member.Name == name {
-				asked = append(asked, member)
-			}
-		}
-	}
-	if len(asked) < len(request.GetRoster()) {
-		// The asking keeper knows members that are not known here: everything
-		// is passed on rather than too little.
-		return k.ledger.Page(request.GetAfter(), func(string) bool { return true })
-	}
+	asked := keeping.ListFromWire(request.GetKeepers())
+	k.members.Adopt(asked)
 	return k.ledger.Page(request.GetAfter(), func(placement string) bool {
-		return k.rule.Holds(asked, placement, request.GetKeeper())
+		return k.rule.Holds(asked.Holding(), placement, request.GetKeeper())
 	})
 }
 
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -63,6 +63,7 @@
 	archive *archive.Archive
 	logger  *zap.Logger
 	ready   atomic.Bool
+	lacking atomic.Pointer[func(placement string) bool]
 
 	mutex    sync.Mutex
 	turns    map[string]turnEntry
@@ -116,10 +117,21 @@
 // Ready reports whether this keeper has all that belongs to it.
 func (l *Ledger) Ready() bool { return l.ready.Load() }
 
+// SetLacking says which placements came to this keeper by a change of the list
+// and are not copied yet; nil for none.
+func (l *Ledger) SetLacking(lacking func(placement string) bool) {
+	l.lacking.Store(&lacking)
+}
+
+func (l *Ledger) lacks(placement string) bool {
+	lacking := l.lacking.Load()
+	return lacking != nil && *lacking != nil && (*lacking)(placement)
+}
+
 // Begin reserves tokens if the program's budget holds them, and syncs the
 // reservation. A repeated request gets the answer of the first.
 func (l *Ledger) Begin(now time.Time, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
-	if !l.Ready() {
+	if !l.Ready() || l.lacks(request.GetReservation().GetProgram()) {
 		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY}, nil
 	}
 	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED}
--- a/kernel/keeping/members.go
+++ b/kernel/keeping/members.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/platform"
+	"limpethall.dev/kernel/wire"
 )
 
 // Members is the list of keepers as the store has it. A member stays on the
@@ -24,6 +28,79 @@
 	members map[string]listed
 	live    map[string]time.Time // When the key went, the zero time while it is there.
 	contact time.Time
+	// revision is the store's revision up to which the list is known.
+	revision uint64
+	// newest is the present list; it is replaced as a whole.
+	newest *List
+}
+
+// List is the list of keepers at one revision of the store. Of two lists that
+// differ, the one with the higher revision is in force: a process with an older
+// one takes over the newer one from whoever shows it.
+type List struct {
+	revision uint64
+	digest   uint64
+	all      []MemberDocument
+	holding  []Keeper
+}
+
+// NewList returns a list.
+func NewList(revision uint64, members []MemberDocument) *List {
+	l := &List{revision: revision, all: slices.Clone(members)}
+	slices.SortFunc(l.all, func(a, b MemberDocument) int { return strings.Compare(a.Name, b.Name) })
+	digest := xxhash.New()
+	for _, member := range l.all {
+		_, _ = fmt.Fprintf(digest, "%s\x00%s\x00%s\x00%t\x00", member.Name, member.Zone, member.Address, member.Leaving)
+		if !member.Leaving {
+			l.holding = append(l.holding, member.keeper())
+		}
+	}
+	l.digest = digest.Sum64()
+	return l
+}
+
+// Revision returns the store's revision up to which the list is known.
+func (l *List) Revision() uint64 { return l.revision }
+
+// Digest tells two lists with other members apart.
+func (l *List) Digest() uint64 { return l.digest }
+
+// Holding returns the keepers that hold records. The caller must not change the
+// slice.
+func (l *List) Holding() []Keeper { return l.holding }
+
+// All returns all members, those included that are leaving.
+func (l *List) All() []Keeper {
+	keepers := make([]Keeper, 0, len(l.all))
+	for _, member := range l.all {
+		keepers = append(keepers, member.keeper())
+	}
+	return keepers
+}
+
+// IsOlderThan reports whether the other list is in force instead of this one.
+func (l *List) IsOlderThan(revision, digest uint64) bool {
+	return l.digest != digest && l.revision < revision
+}
+
+// Wire returns the list as it is sent, with its members if whole.
+func (l *List) Wire(whole bool) *wire.KeeperList {
+	sent := &wire.KeeperList{StoreRevision: l.revision, Digest: l.digest}
+	if whole {
+		for _, member := range l.all {
+			sent.Keepers = append(sent.Keepers, &wire.KeeperEntry{Name: member.Name, Zone: member.Zone, Address: member.Address, Leaving: member.Leaving})
+		}
+	}
+	return sent
+}
+
+// ListFromWire returns a list that was sent whole.
+func ListFromWire(sent *wire.KeeperList) *List {
+	members := make([]MemberDocument, 0, len(sent.GetKeepers()))
+	for _, entry := range sent.GetKeepers() {
+		members = append(members, MemberDocument{Name: entry.GetName(), Zone: entry.GetZone(), Address: entry.GetAddress(), Leaving: entry.GetLeaving()})
+	}
+	return NewList(sent.GetStoreRevision(), members)
 }
 
 type listed struct {
@@ -51,11 +128,15 @@
 	Leaving bool   `json:"leaving,omitempty"`
 }
 
+func (d MemberDocument) keeper() Keeper {
+	return Keeper{Name: d.Name, Zone: d.Zone, Address: d.Address}
+}
+
 // NewMembers returns an empty list.
 func NewMembers(store platform.Store, logger *zap.Logger) *Members {
 	return &Members{
 		store: store, logger: logger, changed: make(chan struct{}, 1),
-		members: make(map[string]listed), live: make(map[string]time.Time),
+		members: make(map[string]listed), live: make(map[string]time.Time), newest: NewList(0, nil),
 	}
 }
 
@@ -67,18 +148,26 @@
 // Changed signals that the list may have changed. It is for one reader.
 func (m *Members) Changed() <-chan struct{} { return m.changed }
 
-// Keepers returns the members that hold records.
-func (m *Members) Keepers() []Keeper {
+// List returns the newest list.
+func (m *Members) List() *List {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.keepers(false)
+	return m.newest
 }
 
-// Sources returns all members, those included that are leaving.
-func (m *Members) Sources() []Keeper {
+// Adopt takes over a list that another process has from the store, if it is
+// newer. The next change that the store tells replaces it.
+func (m *Members) Adopt(list *List) {
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.keepers(true)
+	adopted := m.newest.IsOlderThan(list.Revision(), list.Digest())
+	if adopted {
+		m.newest = list
+	}
+	m.mutex.Unlock()
+	if adopted {
+		m.logger.Info("newer list of keepers taken over", zap.Int("keepers", len(list.all)), zap.Uint64("revision", list.Revision()))
+		m.signal()
+	}
 }
 
 // Known reports whether the list was ever read.
@@ -108,6 +197,8 @@
 	}
 	m.live = gone
 	m.contact = now
+	m.revision = listing.Revision
+	m.publish()
 	m.mutex.Unlock()
 	m.signal()
 	return nil
@@ -131,6 +222,8 @@
 			m.put(event.Entry)
 		}
 	}
+	m.revision = max(m.revision, changes.Revision)
+	m.publish()
 	m.mutex.Unlock()
 	if len(changes.Events) > 0 {
 		m.signal()
@@ -188,14 +281,17 @@
 	return m.store.Delete(ctx, memberPrefix+name, known.version)
 }
 
-func (m *Members) keepers(leaving bool) []Keeper {
-	keepers := make([]Keeper, 0, len(m.members))
+// publish makes the list of the present members the newest, unless a newer one
+// was taken over; the mutex is held.
+func (m *Members) publish() {
+	if m.revision < m.newest.revision {
+		return
+	}
+	documents := make([]MemberDocument, 0, len(m.members))
 	for _, member := range m.members {
-		if leaving || !member.document.Leaving {
-			keepers = append(keepers, Keeper{Name: member.document.Name, Zone: member.document.Zone, Address: member.document.Address})
-		}
+		documents = append(documents, member.document)
 	}
-	return keepers
+	m.newest = NewList(m.revision, documents)
 }
 
 func (m *Members) put(entry platform.Entry) {
