--- a/hall/turns/ask.go
+++ b/hall/turns/ask.go
@@ -198,3 +198,6 @@
 	}
 	return known
 }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
--- a/keeper/archive/archive.go
+++ b/keeper/archive/archive.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 )
@@ -47,9 +48,15 @@
 
 // Open opens the store in a folder and creates it where there is none.
 func Open(folder string, logger *zap.Logger) (*Archive, error) {
+	return OpenOn(vfs.Default, folder, logger)
+}
+
+// OpenOn opens the store on a file system of its own.
+func OpenOn(files vfs.FS, folder string, logger *zap.Logger) (*Archive, error) {
 	cache := pebble.NewCache(cacheBytes)
 	defer cache.Unref()
 	db, err := pebble.Open(folder, &pebble.Options{
+		FS:                          files,
 		Cache:                       cache,
 		MemTableSize:                memTableBytes,
 		MemTableStopWritesThreshold: 4,
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -136,6 +136,7 @@
 	k.logger.Info("keeper stops", zap.String("name", k.options.Name))
 	err := k.server.Shutdown(ctx)
 	k.duties.Stop()
+	k.transport.CloseIdleConnections()
 	return errors.Join(err, k.archive.Close())
 }
 
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -316,6 +316,9 @@
 func (l *Ledger) chain(turn, workspace string) ([]link, wire.FindVerdict) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if turn == "" {
+		return nil, wire.FindVerdict_FIND_VERDICT_ABSENT
+	}
 	var chain []link
 	for id := turn; id != ""; {
 		entry, found := l.turns[id]
--- /dev/null
+++ b/keeper/ledger/ledger_test.go
@@ -0,0 +1,267 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"limpethall.dev/keeper/archive"
+	"limpethall.dev/keeper/ledger"
+	"limpethall.dev/kernel/wire"
+)
+
+const retention = time.Minute
+
+func open(t *testing.T, folder string) (*ledger.Ledger, *archive.Archive) {
+	t.Helper()
+	kept, err := archive.Open(folder, zap.NewNop())
+	if err != nil {
+		t.Fatalf("open the archive: %v", err)
+	}
+	l, err := ledger.Open(kept, time.Now(), zap.NewNop())
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	return l, kept
+}
+
+func ready(t *testing.T) *ledger.Ledger {
+	t.Helper()
+	l, kept := open(t, t.TempDir())
+	t.Cleanup(func() { _ = kept.Close() })
+	if err := l.SetReady(true); err != nil {
+		t.Fatalf("set ready: %v", err)
+	}
+	return l
+}
+
+func reservation(turn string, tokens int64, settled bool) *wire.Reservation {
+	return &wire.Reservation{Program: "w/p", Turn: turn, Tokens: tokens, Settled: settled, ExpiresUnixMilliseconds: time.Now().Add(2 * retention).UnixMilli()}
+}
+
+func turn(id, previous, workspace string) *wire.Turn {
+	return &wire.Turn{
+		Id: id, Previous: previous, Workspace: workspace, Placement: "w/p", Input: []byte("in " + id), Output: []byte("out " + id),
+		ExpiresUnixMilliseconds: time.Now().Add(retention).UnixMilli(),
+	}
+}
+
+func store(t *testing.T, l *ledger.Ledger, kept *wire.Turn) {
+	t.Helper()
+	if err := l.Finish(time.Now(), &wire.FinishTurnRequest{Turn: kept}); err != nil {
+		t.Fatalf("finish %s: %v", kept.GetId(), err)
+	}
+}
+
+func begin(t *testing.T, l *ledger.Ledger, id string, tokens, budget int64) wire.BeginVerdict {
+	t.Helper()
+	reply, err := l.Begin(time.Now(), &wire.BeginTurnRequest{Reservation: reservation(id, tokens, false), Budget: budget, Workspace: "w"})
+	if err != nil {
+		t.Fatalf("begin %s: %v", id, err)
+	}
+	return reply.GetVerdict()
+}
+
+// TestBudget goes through the life of reservations.
+func TestBudget(t *testing.T) {
+	l := ready(t)
+	steps := []struct {
+		name string
+		turn string
+		want wire.BeginVerdict
+	}{
+		{"first", "a", wire.BeginVerdict_BEGIN_VERDICT_ADMITTED},
+		{"repeated", "a", wire.BeginVerdict_BEGIN_VERDICT_ADMITTED},
+		{"second", "b", wire.BeginVerdict_BEGIN_VERDICT_ADMITTED},
+		{"third is too much", "c", wire.BeginVerdict_BEGIN_VERDICT_EXHAUSTED},
+	}
+	for _, step := range steps {
+		if got := begin(t, l, step.turn, 40, 100); got != step.want {
+			t.Errorf("%s: got %s, want %s", step.name, got, step.want)
+		}
+	}
+	settle := &wire.FinishTurnRequest{Reservation: reservation("a", 10, true)}
+	if err := l.Finish(time.Now(), settle); err != nil {
+		t.Fatalf("settle: %v", err)
+	}
+	if got, want := begin(t, l, "c", 40, 100), wire.BeginVerdict_BEGIN_VERDICT_ADMITTED; got != want {
+		t.Errorf("third after a settlement: got %s, want %s", got, want)
+	}
+	if got, want := begin(t, l, "a", 40, 100), wire.BeginVerdict_BEGIN_VERDICT_EXHAUSTED; got != want {
+		t.Errorf("settled turn again: got %s, want %s", got, want)
+	}
+}
+
+// TestBudgetIsNeverPassed runs random reservations, settlements and restarts
+// and wants what was admitted to stay within the budget.
+func TestBudgetIsNeverPassed(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		folder := t.TempDir()
+		l, kept := open(t, folder)
+		defer func() { _ = kept.Close() }()
+		if err := l.SetReady(true); err != nil {
+			rt.Fatalf("set ready: %v", err)
+		}
+		const budget, most = 200, 30
+		used := make(map[string]int64)
+		for step := range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 9).Draw(rt, "what") {
+			case 0:
+				if err := kept.Close(); err != nil {
+					rt.Fatalf("close: %v", err)
+				}
+				l, kept = open(t, folder)
+				if !l.Ready() {
+					rt.Fatal("after a restart with its disk: got not ready, want ready")
+				}
+			case 1, 2, 3:
+				for id, tokens := range used {
+					if tokens == most {
+						used[id] = rapid.Int64Range(0, most-1).Draw(rt, "tokens")
+						if err := l.Finish(time.Now(), &wire.FinishTurnRequest{Reservation: reservation(id, used[id], true)}); err != nil {
+							rt.Fatalf("settle: %v", err)
+						}
+						break
+					}
+				}
+			default:
+				id := fmt.Sprintf("turn-%d", step)
+				if begin(t, l, id, most, budget) == wire.BeginVerdict_BEGIN_VERDICT_ADMITTED {
+					used[id] = most
+				}
+			}
+			sum := int64(0)
+			for _, tokens := range used {
+				sum += tokens
+			}
+			if sum > budget {
+				rt.Fatalf("tokens handed out or reserved: got %d, want at most %d", sum, budget)
+			}
+		}
+	})
+}
+
+// TestHistory goes through what a later turn may find.
+func TestHistory(t *testing.T) {
+	l := ready(t)
+	store(t, l, turn("a", "", "w"))
+	store(t, l, turn("b", "a", "w"))
+	store(t, l, turn("orphan", "never stored", "w"))
+	cases := []struct {
+		turn      string
+		workspace string
+		want      wire.FindVerdict
+	}{
+		{"b", "w", wire.FindVerdict_FIND_VERDICT_FOUND},
+		{"b", "other", wire.FindVerdict_FIND_VERDICT_FOREIGN},
+		{"c", "w", wire.FindVerdict_FIND_VERDICT_ABSENT},
+		{"", "w", wire.FindVerdict_FIND_VERDICT_ABSENT},
+		{"orphan", "w", wire.FindVerdict_FIND_VERDICT_UNCERTAIN},
+	}
+	for _, c := range cases {
+		reply, err := l.Find(c.turn, c.workspace)
+		if err != nil {
+			t.Fatalf("find %s: %v", c.turn, err)
+		}
+		if got := reply.GetVerdict(); got != c.want {
+			t.Errorf("turn %s for %s: got %s, want %s", c.turn, c.workspace, got, c.want)
+		}
+	}
+	reply, err := l.Find("b", "w")
+	if err != nil {
+		t.Fatalf("find: %v", err)
+	}
+	if got, want := fmt.Sprintf("%s", reply.GetParts()), "[in a out a in b out b]"; got != want {
+		t.Errorf("history: got %s, want %s", got, want)
+	}
+}
+
+// TestChainIsKeptWithItsNewestTurn lets a chain grow past the retention of its
+// first turn, which must stay readable.
+func TestChainIsKeptWithItsNewestTurn(t *testing.T) {
+	l := ready(t)
+	now := time.Now()
+	previous := ""
+	for index := range 8 {
+		id := fmt.Sprintf("turn-%d", index)
+		kept := turn(id, previous, "w")
+		kept.ExpiresUnixMilliseconds = now.Add(retention).UnixMilli()
+		if err := l.Finish(now, &wire.FinishTurnRequest{Turn: kept}); err != nil {
+			t.Fatalf("finish: %v", err)
+		}
+		previous = id
+		now = now.Add(retention * 2 / 3)
+		if err := l.Expire(now); err != nil {
+			t.Fatalf("expire: %v", err)
+		}
+		reply, err := l.Find(id, "w")
+		if err != nil {
+			t.Fatalf("find: %v", err)
+		}
+		if got, want := len(reply.GetParts()), 2*(index+1); got != want {
+			t.Fatalf("parts of the history after %d turns: got %d, want %d", index+1, got, want)
+		}
+	}
+	now = now.Add(10 * retention)
+	if err := l.Expire(now); err != nil {
+		t.Fatalf("expire: %v", err)
+	}
+	if turns, _ := l.Sizes(); turns != 0 {
+		t.Errorf("turns after their time: got %d, want 0", turns)
+	}
+}
+
+// TestCopyMakesAnotherKeeperWhole copies page by page and wants budget and
+// history on the other keeper, which is not ready before.
+func TestCopyMakesAnotherKeeperWhole(t *testing.T) {
+	source := ready(t)
+	target, kept := open(t, t.TempDir())
+	defer func() { _ = kept.Close() }()
+	for index := range 40 {
+		previous := ""
+		if index > 0 {
+			previous = fmt.Sprintf("turn-%d", index-1)
+		}
+		long := turn(fmt.Sprintf("turn-%d", index), previous, "w")
+		long.Input = make([]byte, 50<<10)
+		store(t, source, long)
+	}
+	begin(t, source, "a", 90, 100)
+	if got, want := begin(t, target, "b", 90, 100), wire.BeginVerdict_BEGIN_VERDICT_NOT_READY; got != want {
+		t.Errorf("before the copy: got %s, want %s", got, want)
+	}
+	var after []byte
+	pages := 0
+	for {
+		page, err := source.Page(after, func(string) bool { return true })
+		if err != nil {
+			t.Fatalf("page: %v", err)
+		}
+		if err := target.Merge(time.Now(), page); err != nil {
+			t.Fatalf("merge: %v", err)
+		}
+		pages++
+		if after = page.GetNext(); len(after) == 0 {
+			break
+		}
+	}
+	if err := target.SetReady(true); err != nil {
+		t.Fatalf("set ready: %v", err)
+	}
+	if pages < 2 {
+		t.Errorf("pages: got %d, want several", pages)
+	}
+	if got, want := begin(t, target, "b", 90, 100), wire.BeginVerdict_BEGIN_VERDICT_EXHAUSTED; got != want {
+		t.Errorf("after the copy: got %s, want %s", got, want)
+	}
+	reply, err := target.Find("turn-39", "w")
+	if err != nil {
+		t.Fatalf("find: %v", err)
+	}
+	if got, want := len(reply.GetParts()), 80; got != want {
+		t.Errorf("parts of the copied history: got %d, want %d", got, want)
+	}
+}
