Stop requests that take down the engines that run them

A request may crash each engine that begins to run it and comes again at any hall. The book of suspects, which the product has for its own programs, moves to a package of its own; the gateway notes a request whose server takes no connections 100 ms after it broke off, for all halls through the store, and refuses it after the third death. A lost answer of a living server does not count. Test: TestRequestThatKillsServersIsStopped.

--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -124,6 +124,7 @@
 	if ctx.Err() != nil {
 		return c.ended(ctx)
 	}
+	c.suspectCrash(c.last.Server())
 	if !c.route.IsRepeatable() {
 		return refuse(http.StatusBadGateway, "the backend server broke off: %v", err)
 	}
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -62,6 +62,15 @@
 	Settle(begun *turns.Begun, tokens int64)
 }
 
+// Suspects are the requests that ran when their backend servers died.
+type Suspects interface {
+	IsEmpty() bool
+	// Check returns an error for a request that took down too many servers.
+	Check(digest []byte) error
+	// Note counts one more death.
+	Note(ctx context.Context, digest []byte) error
+}
+
 // Options are what a gateway is built from.
 type Options struct {
 	// Catalog returns the configuration in force, nil before the first.
@@ -70,6 +79,7 @@
 	Turns    Turns
 	Balancer *balance.Balancer
 	Backend  Backend
+	Suspects Suspects
 	// Halls returns how many halls share the connections to a server.
 	Halls  func() int
 	Meters *Meters
@@ -144,6 +154,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 	defer cancel()
+	if refusal := c.checkSuspect(); refusal != nil {
+		return refusal
+	}
 	if refusal := c.beginTurn(ctx); refusal != nil {
 		return refusal
 	}
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,6 +41,7 @@
 	replies []reply
 	sent    []gateway.Outgoing
 	names   []string
+	dying   bool // Servers that break off take no connections any more.
 }
 
 // Send implements gateway.Backend.
@@ -62,6 +64,40 @@
 	return answer, nil
 }
 
+// Answers implements gateway.Backend.
+func (s *servers) Answers(context.Context, backend.Server) bool { return !s.dying }
+
+// suspects counts the deaths at requests, whatever they are.
+type suspects struct {
+	mutex  sync.Mutex
+	deaths int
+}
+
+// IsEmpty implements gateway.Suspects.
+func (s *suspects) IsEmpty() bool { return s.count() == 0 }
+
+// Check implements gateway.Suspects.
+func (s *suspects) Check([]byte) error {
+	if s.count() >= 3 {
+		return errors.New("too many deaths")
+	}
+	return nil
+}
+
+// Note implements gateway.Suspects.
+func (s *suspects) Note(context.Context, []byte) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.deaths++
+	return nil
+}
+
+func (s *suspects) count() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.deaths
+}
+
 type brokenReader struct{}
 
 // Read implements io.Reader.
@@ -109,11 +145,12 @@
 	servers  *servers
 	admitter *admitter
 	keepers  *keepers
+	suspects *suspects
 	gateway  *gateway.Gateway
 }
 
 func newWorld(replies ...reply) *world {
-	w := &world{servers: &servers{replies: replies}, admitter: &admitter{}, keepers: &keepers{}}
+	w := &world{servers: &servers{replies: replies}, admitter: &admitter{}, keepers: &keepers{}, suspects: &suspects{}}
 	routes := []catalog.Route{
 		{Name: "safe", Host: "desk.example", Prefix: "/safe/", Kind: catalog.KindIdempotent, Attempts: 2},
 		{Name: "once", Host: "desk.example", Prefix: "/once/", Kind: catalog.KindOnce, Attempts: 2},
@@ -137,7 +174,7 @@
 	directory.Publish(backend.NewList(1, time.Now(), list, nil))
 	w.gateway = gateway.New(gateway.Options{
 		Catalog: func() *catalog.Catalog { return current }, Admitter: w.admitter, Turns: w.keepers, Balancer: balancer,
-		Backend: w.servers, Halls: func() int { return 1 }, Logger: zap.NewNop(),
+		Backend: w.servers, Suspects: w.suspects, Halls: func() int { return 1 }, Logger: zap.NewNop(),
 	})
 	return w
 }
@@ -331,3 +368,28 @@
 		})
 	}
 }
+
+// TestRequestThatKillsServersIsStopped sends a request again and again that takes
+// down each server that runs it, and one whose answers are only lost.
+func TestRequestThatKillsServersIsStopped(t *testing.T) {
+	for _, dying := range []bool{true, false} {
+		t.Run(fmt.Sprintf("servers die %t", dying), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(reply{err: broken})
+				w.servers.dying = dying
+				const tries = 10
+				for range tries {
+					w.ask("/once/x", nil)
+					time.Sleep(2 * time.Second)
+				}
+				want := tries
+				if dying {
+					want = 3
+				}
+				if got := len(w.servers.sent); got != want {
+					t.Errorf("requests to servers: got %d, want %d", got, want)
+				}
+			})
+		})
+	}
+}
--- a/hall/gateway/request.go
+++ b/hall/gateway/request.go
@@ -71,4 +71,6 @@
 // *connection.UnsentError or a *connection.BrokenError.
 type Backend interface {
 	Send(ctx context.Context, server backend.Server, outgoing Outgoing) (*Answer, error)
+	// Answers reports whether the server takes connections.
+	Answers(ctx context.Context, server backend.Server) bool
 }
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -82,7 +82,11 @@
 	}
 	c.tried[c.last.Server().ID()] = true
 	var gone *callerError
-	resumable := c.route.Resumable && !errors.As(cause, &gone) && ctx.Err() == nil
+	byServer := !errors.As(cause, &gone) && ctx.Err() == nil
+	if byServer {
+		c.suspectCrash(c.last.Server())
+	}
+	resumable := c.route.Resumable && byServer
 	c.gateway.options.Logger.Info("stream broke off", zap.String("requestId", c.request.ID),
 		zap.String("server", c.last.Server().ID()), zap.Int64("events", passed.events), zap.String("lastEvent", passed.lastID),
 		zap.Bool("resumable", resumable), zap.Error(cause))
--- a/hall/hall.go
+++ b/hall/hall.go
@@ -28,6 +28,7 @@
 	"limpethall.dev/hall/home"
 	"limpethall.dev/hall/neighbor"
 	"limpethall.dev/hall/peers"
+	"limpethall.dev/hall/suspect"
 	"limpethall.dev/kernel/configuration"
 	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/host"
@@ -44,6 +45,8 @@
 )
 
 const (
+	// maxDeaths is how many servers a request may take down before it is refused.
+	maxDeaths        = 2
 	tidyInterval     = 10 * time.Second
 	hostListInterval = time.Second
 	peerBodyBytes    = 64 << 20
@@ -73,7 +76,7 @@
 	neighbors *neighbor.Neighbors
 	keeper    *allowance.Keeper
 	allowance *allowance.Allowance
-	suspects  *home.Suspects
+	suspects  *suspect.Book
 	home      *home.Home
 	hosts     platform.HostList
 	duties    *duty.Group
@@ -196,7 +199,7 @@
 	p.allowance = allowance.New(lenders, p.keeper.Valid, time.Now)
 	p.keeper.Bind(p.allowance)
 	p.follower.Subscribe(p.allowance.Configure)
-	p.suspects = home.NewSuspects(p.store, time.Now, p.logs.Layer("suspect"))
+	p.suspects = suspect.New(p.store, maxDeaths, time.Now, p.logs.Layer("suspect"))
 }
 
 // assemble builds what serves callers and peers.
--- a/hall/home/home.go
+++ b/hall/home/home.go
@@ -22,6 +22,7 @@
 
 	"limpethall.dev/hall/dispatch"
 	"limpethall.dev/hall/fleet"
+	"limpethall.dev/hall/suspect"
 	"limpethall.dev/kernel/configuration"
 	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/host"
@@ -69,7 +70,7 @@
 	Prefixes   *dispatch.Prefixes
 	Client     *peer.Client
 	Vault      *Vault
-	Suspects   *Suspects
+	Suspects   *suspect.Book
 	Archive    *program.Archive
 	Logger     *zap.Logger
 	Now        func() time.Time
--- a/kernel/connection/connection.go
+++ b/kernel/connection/connection.go
@@ -329,6 +329,15 @@
 	}
 }
 
+// Probe opens a connection to a server and closes it.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	socket, err := p.network.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return socket.Close()
+}
+
 // Close closes idle connections; those in use are closed when they are done.
 func (p *Pool) Close() {
 	p.mutex.Lock()
