--- a/hall/balance/balance_test.go
+++ b/hall/balance/balance_test.go
@@ -13,7 +13,6 @@
 
 var models = &catalog.Service{Name: "models", Slots: 8, ColdRate: 20}
 
-
 func publish(directory *backend.Directory, options ...backend.Options) {
 	servers := make([]backend.Server, 0, len(options))
 	for _, option := range options {
--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -25,9 +25,9 @@
 	choice *balance.Choice
 }
 
-// close ends exchange and choice.
-func (s *sent) close() {
-	s.Answer.Close()
+// end closes the exchange and ends the choice.
+func (s *sent) end() {
+	s.Close()
 	s.choice.Done()
 }
 
@@ -164,7 +164,7 @@
 // passPlain passes one answer on. again says that it broke off before any of it
 // was passed on and that another server may be asked.
 func (c *call) passPlain(ctx context.Context, answer *sent) (refusal *Refusal, again bool) {
-	defer answer.close()
+	defer answer.end()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes))
 	if err != nil {
 		c.passOver(answer.choice, answer.Answer, err)
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -54,7 +54,7 @@
 	c.begin(answer.Answer)
 	for {
 		err := c.passEvents(answer, passed)
-		answer.close()
+		answer.end()
 		if err == nil {
 			c.finish(ctx, passed)
 			return nil
@@ -99,7 +99,7 @@
 		return nil
 	}
 	if !isEventStream(answer.Answer) {
-		answer.close()
+		answer.end()
 		return nil
 	}
 	return answer
--- a/hall/turns/ask.go
+++ b/hall/turns/ask.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// call makes one call, which is not cancelled with the question.
+// call makes one call, which is not canceled with the question.
 func (c *Client) call(ctx context.Context, keeper keeping.Keeper, call func(ctx context.Context, keeper wire.Keeper) (any, error)) result {
 	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -198,7 +198,7 @@
 	results := c.ask(ctx, begun.placement, func(ctx context.Context, keeper wire.Keeper) (any, error) {
 		return keeper.Finish(ctx, request)
 	})
-	stored, err := 0, error(errNoKeepers)
+	stored, err := 0, errNoKeepers
 	for result := range results.replies {
 		if result.err != nil {
 			err = result.err
@@ -282,7 +282,7 @@
 		}
 		return reply, nil
 	})
-	admitted, exhausted, spent, stale, err := 0, 0, int64(0), false, error(errNoKeepers)
+	admitted, exhausted, spent, stale, err := 0, 0, int64(0), false, errNoKeepers
 	for result := range results.replies {
 		if result.err != nil {
 			err = result.err
--- a/kernel/keeping/keeping.go
+++ b/kernel/keeping/keeping.go
@@ -27,8 +27,9 @@
 	tolerance int
 }
 
-// New returns the rule that survives the loss of so many disks at once.
-func New(tolerance int) Rule { return Rule{tolerance: max(1, tolerance)} }
+// New returns the rule that survives the loss of so many disks at once. Replicas
+// lie in zones of their own, so it survives the absence of as many zones too.
+func New(tolerance int) Rule { return Rule{tolerance: max(0, tolerance)} }
 
 // Quorum returns on how many keepers a record is stored.
 func (r Rule) Quorum() int { return r.tolerance + 1 }
