--- a/kernel/platform/httpjson/store.go
+++ b/kernel/platform/httpjson/store.go
@@ -14,12 +14,9 @@
 package httpjson
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -72,9 +69,8 @@
 
 // Store is a client of the service.
 type Store struct {
-	base    string
 	timeout time.Duration
-	client  *http.Client
+	caller  *platform.JSONCaller
 }
 
 // New returns a client of the first address. Timeout bounds every call but a
@@ -87,15 +83,11 @@
 	if timeout <= 0 {
 		timeout = time.Second
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections}
-	if options.Network != nil {
-		transport.DialContext = options.Network.DialContext
-	}
-	return &Store{base: "http://" + options.Addresses[0], timeout: timeout, client: &http.Client{Transport: transport}}, nil
+	return &Store{timeout: timeout, caller: platform.NewJSONCaller(options.Network, options.Addresses[0], idleConnections)}, nil
 }
 
 // Close closes idle connections.
-func (s *Store) Close() { s.client.CloseIdleConnections() }
+func (s *Store) Close() { s.caller.Close() }
 
 // Get implements platform.Store.
 func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
@@ -181,37 +173,15 @@
 }
 
 func (s *Store) call(ctx context.Context, r request, answer any) error {
-	timeout := s.timeout
+	call := platform.JSONCall{Method: r.method, Path: r.path, Name: r.method + " " + r.path, Body: r.body, Write: r.write, Timeout: s.timeout}
 	if r.timeout > 0 {
-		timeout = r.timeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var body io.Reader
-	if r.body != nil {
-		text, err := json.Marshal(r.body)
-		if err != nil {
-			return err
-		}
-		body = bytes.NewReader(text)
-	}
-	outgoing, err := http.NewRequestWithContext(ctx, r.method, s.base+r.path, body)
-	if err != nil {
-		return err
-	}
-	outgoing.GetBody = nil // A write must not be sent again behind our back.
-	response, err := s.client.Do(outgoing)
-	if err != nil {
-		return platform.NewUnavailableError(r.method+" "+r.path, r.write, err)
+		call.Timeout = r.timeout
 	}
-	defer func() { _ = response.Body.Close() }()
-	return r.read(response, answer)
+	return s.caller.Do(ctx, call, answer, func(status int) error { return r.failed(call, status) })
 }
 
-func (r request) read(response *http.Response, answer any) error {
-	switch response.StatusCode {
-	case http.StatusOK:
-		return r.decode(response, answer)
+func (r request) failed(call platform.JSONCall, status int) error {
+	switch status {
 	case http.StatusNotFound:
 		return platform.NewNotFoundError(r.key)
 	case http.StatusConflict:
@@ -221,19 +191,8 @@
 	case http.StatusRequestedRangeNotSatisfiable:
 		return platform.NewGapError(r.expected)
 	default:
-		return platform.NewUnavailableError(r.method+" "+r.path, r.write, fmt.Errorf("status %d", response.StatusCode))
-	}
-}
-
-func (r request) decode(response *http.Response, answer any) error {
-	if answer == nil {
-		_, err := io.Copy(io.Discard, response.Body)
-		return err
-	}
-	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
-		return platform.NewUnavailableError(r.method+" "+r.path, r.write, err)
+		return call.Refused(status, r.write)
 	}
-	return nil
 }
 
 func (d EntryDocument) entry() platform.Entry {
