Give each program of the cold-engine test a text of its own

Before, halls had not proved their shares of the rates at 300 ms and nothing ran yet. Bounds unchanged. Ruled out: borrowing by own demand (trial), too few programs (trials with 10, 15 and 25 each).

--- a/standin/deployment/fault_test.go
+++ b/standin/deployment/fault_test.go
@@ -185,12 +185,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			inWorld(t, nil, func(w *world) {
 				var wait sync.WaitGroup
-				for range 40 {
+				for number := range 40 {
 					client := w.client("kovacs")
 					wait.Go(func() {
-						for range 5 {
+						for turn := range 5 {
 							program := w.open(client, 0)
-							_, _ = program.Turn(w.ctx, w.Model(), "load answer=40", false)
+							// Equal texts would be one suspect when their engines die.
+							text := fmt.Sprintf("load %d %d answer=40", number, turn)
+							_, _ = program.Turn(w.ctx, w.Model(), text, false)
 						}
 					})
 				}
