--- a/hall/allowance/allowance.go
+++ b/hall/allowance/allowance.go
@@ -153,7 +153,7 @@
 func (a *Allowance) admitFirst(ctx context.Context, workspace string, known *entry) error {
 	if known.waiting.Load() == 0 {
 		a.borrow(ctx, workspace, known, 1)
-		if now := a.now(); a.valid(now) && known.waiting.Load() == 0 && known.bucket.Take(now) {
+		if now := a.now(); a.valid(now) && known.waiting.Load() == 0 && known.bucket.TakeAgain(now) {
 			return nil
 		}
 	}
@@ -203,7 +203,7 @@
 		if !a.valid(now) {
 			return failure.New(failure.CodeConfigurationOld, failure.NotRun, "this entry can't prove its share of the rate now: use another entry")
 		}
-		if known.bucket.Take(now) {
+		if known.bucket.TakeAgain(now) {
 			return nil
 		}
 		wait := max(minPause, min(known.bucket.Wait(now), retryWait))
--- a/kernel/limit/bucket.go
+++ b/kernel/limit/bucket.go
@@ -118,15 +118,10 @@
 	b.tokens = b.capacity()
 }
 
-// Take spends one token and reports whether there was one.
-func (b *Bucket) Take(now time.Time) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.take(now, 0)
-}
+// Take spends one token for a new request and reports whether there was one.
+func (b *Bucket) Take(now time.Time) bool { return b.TakeAbove(now, 0) }
 
-// TakeAbove spends one token if so many are left after it. It counts as demand
-// once for each request; a request that waits uses Take from then on.
+// TakeAbove spends one token for a new request if so many are left after it.
 func (b *Bucket) TakeAbove(now time.Time, reserve float64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -134,6 +129,14 @@
 	return b.take(now, reserve)
 }
 
+// TakeAgain spends one token for a request that found none before; it does not
+// count as demand a second time.
+func (b *Bucket) TakeAgain(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.take(now, 0)
+}
+
 func (b *Bucket) take(now time.Time, reserve float64) bool {
 	b.refill(now)
 	if b.tokens+sum(b.borrowed) < 1+reserve {
