Ask the engine whether it is cold before more calls start than it bears cold

Cause: TestUnannouncedColdness was red (13 to 26 requests at each engine over the two that it bears). Coldness without a restart showed only in load reports, read twice a second and 0.2 s old.

Ruled out: shorter report intervals (reports lag by themselves); latency of running streams (needs answers first, so some requests too late).

Change: engines tell their remaining cold time at /health without lag, as the users' engines do. The gate lets no more calls start between two answers than a cold engine bears.

Found on the way: TestContract/can't_be_reached of standin/engine failed in 11 of 300 runs (deadlock in the bubble). The HTTP library's shutdown does nothing before it serves, so a listener closed right after Start kept its socket and its goroutine.

--- a/kernel/listener/listener.go
+++ b/kernel/listener/listener.go
@@ -123,8 +123,13 @@
 	return nil
 }
 
-// Close stops listening and closes what is open.
+// Close stops listening and closes what is open. The HTTP library's own
+// shutdown leaves the socket open if it has not begun to serve yet.
 func (l *Listener) Close() error {
+	defer func() { _ = l.socket.Close() }()
+	if !l.hertz.IsRunning() {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), exitWait)
 	defer cancel()
 	err := l.hertz.Shutdown(ctx)
--- a/limpet/engine/chat/chat.go
+++ b/limpet/engine/chat/chat.go
@@ -5,7 +5,8 @@
 // keeps the prompt's prefix, and the header X-Request-Id, which the engine
 // repeats in request_id of each chunk; a chunk of another request is never
 // passed on. GET /v1/load reports the load, DELETE /v1/cache/KEY releases
-// memory.
+// memory. GET /health tells in the header X-Cold-Ms for how many milliseconds
+// the engine stays cold.
 //
 // # Usage
 //
@@ -23,6 +24,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"limpethall.dev/kernel/wire"
@@ -35,6 +37,7 @@
 	maxLine      = 4 << 20
 	maxTail      = 1024
 	requestID    = "X-Request-Id"
+	coldFor      = "X-Cold-Ms"
 )
 
 func init() {
@@ -139,6 +142,30 @@
 	return engine.Load(document), nil
 }
 
+// ColdFor implements engine.Engine.
+func (e *Engine) ColdFor(ctx context.Context) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, e.base+"/health", nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text := response.Header.Get(coldFor)
+	if text == "" {
+		return 0, &engine.UntoldError{}
+	}
+	length, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || length < 0 {
+		return 0, engine.NewRefusedError(response.StatusCode, coldFor+" "+strconv.Quote(text))
+	}
+	return time.Duration(length) * time.Millisecond, nil
+}
+
 // Release implements engine.Engine.
 func (e *Engine) Release(ctx context.Context, cacheKey string) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
--- a/limpet/engine/engine.go
+++ b/limpet/engine/engine.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/registry"
@@ -40,6 +41,10 @@
 	Generate(ctx context.Context, callID string, call *wire.ModelCall, emit func(*wire.Delta)) (*wire.End, error)
 	// Load reads the engine's report, which may lag.
 	Load(ctx context.Context) (Load, error)
+	// ColdFor asks how long the engine stays cold, zero if it is warm. The
+	// answer does not lag. It returns an *UntoldError if the engine has no
+	// such answer.
+	ColdFor(ctx context.Context) (time.Duration, error)
 	// Release frees the memory held under a cache key. Releasing an unknown
 	// key is no error.
 	Release(ctx context.Context, cacheKey string) error
@@ -90,6 +95,12 @@
 // Engines lists the Engine plug-ins.
 var Engines = registry.New[Constructor]("engine")
 
+// UntoldError reports that an engine does not tell whether it is cold.
+type UntoldError struct{}
+
+// Error says so.
+func (*UntoldError) Error() string { return "the engine does not tell whether it is cold" }
+
 // DiedError reports that the engine went away during a call.
 type DiedError struct{ cause error }
 
--- a/limpet/gate/event.go
+++ b/limpet/gate/event.go
@@ -33,10 +33,17 @@
 // coldness tells that the server has turned cold.
 type coldness struct{ reason string }
 
+// look is the server's answer to the question whether it is cold.
+type look struct {
+	cold time.Duration
+	err  error
+}
+
 func (arrival) isEvent()    {}
 func (completion) isEvent() {}
 func (removal) isEvent()    {}
 func (coldness) isEvent()   {}
+func (look) isEvent()       {}
 
 func (g *Gate) handle(next event) {
 	switch e := next.(type) {
@@ -48,6 +55,8 @@
 		g.waiting.Remove(e.id)
 	case coldness:
 		g.turnCold(e.reason)
+	case look:
+		g.takeLook(e)
 	}
 }
 
@@ -101,7 +110,8 @@
 // startReady starts calls while the window has room. A call that must run
 // alone waits for the others to end and holds all back until it has.
 func (g *Gate) startReady(ctx context.Context) {
-	for g.alone == nil && len(g.running) < g.bound.Size(g.now()) {
+	defer g.lookAgain(ctx)
+	for g.alone == nil && len(g.running) < g.bound.Size(g.now()) && !g.sight.spent() {
 		item, found := g.waiting.Pop(g.now())
 		if !found {
 			return
@@ -119,7 +129,7 @@
 		}
 		g.start(ctx, next, item.Cost())
 	}
-	if g.alone != nil && len(g.running) == 0 {
+	if g.alone != nil && len(g.running) == 0 && !g.sight.spent() {
 		g.start(ctx, g.alone, g.estimate(g.alone.Dispatch()))
 	}
 }
@@ -141,5 +151,6 @@
 		return
 	}
 	g.running[next.ID()] = next
+	g.sight.started()
 	go g.run(ctx, cancel, next, cost)
 }
--- a/limpet/gate/gate.go
+++ b/limpet/gate/gate.go
@@ -74,6 +74,7 @@
 	bound    *window.Window
 	running  map[string]*call.Call
 	alone    *call.Call
+	sight    sight
 	rate     float64
 	answer   float64
 	served   float64
@@ -108,6 +109,9 @@
 		measured: now(),
 	}
 	g.load.Store(&Load{Window: int64(options.Window.Cold)})
+	if _, isModel := backend.(ModelBackend); isModel {
+		g.sight = newSight(options.Window.Cold)
+	}
 	return g, nil
 }
 
--- a/standin/engine/contract_test.go
+++ b/standin/engine/contract_test.go
@@ -44,6 +44,7 @@
 		{"can't be reached", checkUnreachable},
 		{"refuses", checkRefusal},
 		{"memory is reported and released", checkMemory},
+		{"coldness is told at once", checkColdness},
 	}
 	for _, name := range client.Engines.Names() {
 		construct, err := client.Engines.Find(name)
@@ -160,6 +161,17 @@
 	}
 }
 
+func checkColdness(t *testing.T, model client.Engine, standin *engine.Engine, _ *network.Network) {
+	time.Sleep(2 * time.Second)
+	if got, err := model.ColdFor(t.Context()); got != 0 || err != nil {
+		t.Errorf("warm: got cold for %v, %v, want 0", got, err)
+	}
+	standin.TurnCold()
+	if got, err := model.ColdFor(t.Context()); got <= 0 || got > time.Second || err != nil {
+		t.Errorf("cold: got cold for %v, %v, want up to 1s", got, err)
+	}
+}
+
 func checkMemory(t *testing.T, model client.Engine, _ *engine.Engine, _ *network.Network) {
 	if _, err := model.Generate(t.Context(), "call-1", question("answer=5"), func(*wire.Delta) {}); err != nil {
 		t.Fatal(err)
