Make the burst of each window usable where rates are counted over windows

Change: a bucket that has been short of n tokens for a whole window refills faster by n in a window.

--- a/hall/allowance/allowance.go
+++ b/hall/allowance/allowance.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	a := allowance.New(identity, follower, lenders, tenure, logger)
+//	a := allowance.New(lenders, keeper.Valid, 0, time.Now)
 //	if err := a.Admit(ctx, "kovacs-counter", allowance.Continuing); err != nil { refuse }
 package allowance
 
@@ -65,6 +65,7 @@
 	lenders Lenders
 	now     func() time.Time
 	valid   func(now time.Time) bool
+	window  time.Duration
 
 	share atomic.Uint64 // Parts of limit.WholeParts.
 
@@ -80,9 +81,10 @@
 }
 
 // New returns an allowance without workspaces and without a share. valid
-// reports whether this hall may still spend its share.
-func New(lenders Lenders, valid func(now time.Time) bool, now func() time.Time) *Allowance {
-	return &Allowance{lenders: lenders, valid: valid, now: now, entries: make(map[string]*entry)}
+// reports whether this hall may still spend its share. If rows are counted over
+// windows, window is their length, else zero.
+func New(lenders Lenders, valid func(now time.Time) bool, window time.Duration, now func() time.Time) *Allowance {
+	return &Allowance{lenders: lenders, valid: valid, window: window, now: now, entries: make(map[string]*entry)}
 }
 
 // Configure takes in the rows of a table.
@@ -97,7 +99,7 @@
 	for _, row := range rows {
 		known, found := a.entries[row.Workspace()]
 		if !found {
-			known = &entry{bucket: limit.NewBucket(now), asking: make(chan struct{}, 1)}
+			known = &entry{bucket: limit.NewBucket(now, a.window), asking: make(chan struct{}, 1)}
 			known.bucket.SetShare(now, a.fraction())
 		}
 		known.bucket.Configure(now, row.Rate(), float64(row.Burst()))
--- a/hall/allowance/allowance_test.go
+++ b/hall/allowance/allowance_test.go
@@ -67,7 +67,7 @@
 func newHalls(count int, rate float64, burst int64) []*allowance.Allowance {
 	halls := make([]*allowance.Allowance, count)
 	for index := range halls {
-		halls[index] = allowance.New(&lenders{own: index, halls: halls}, func(time.Time) bool { return true }, time.Now)
+		halls[index] = allowance.New(&lenders{own: index, halls: halls}, func(time.Time) bool { return true }, 0, time.Now)
 	}
 	for _, hall := range halls {
 		hall.ConfigureRows([]table.Row{table.NewRow(workspace, 1, rate, burst, 0, nil)})
--- a/hall/allowance/keeper_test.go
+++ b/hall/allowance/keeper_test.go
@@ -30,7 +30,7 @@
 		keepers := make([]*allowance.Keeper, count)
 		for index := range keepers {
 			keeper := allowance.NewKeeper(store, fmt.Sprintf("hall-%d", index), uint64(index+1), func(time.Time) bool { return true }, zap.NewNop())
-			keeper.Bind(allowance.New(nil, keeper.Valid, time.Now))
+			keeper.Bind(allowance.New(nil, keeper.Valid, 0, time.Now))
 			keepers[index] = keeper
 			go func() { _ = keeper.Register(ctx) }()
 			go func() { _ = keeper.Follow(ctx) }()
--- a/hall/hall.go
+++ b/hall/hall.go
@@ -196,7 +196,7 @@
 	p.neighbors = neighbor.New(p.identity, p.roster, p.follower, p.fleet, p.client, p.logs.Layer("neighbor"))
 	p.keeper = allowance.NewKeeper(p.store, p.identity.Name, p.identity.Incarnation, p.neighbors.OutageEverywhere, p.logs.Layer("limit"))
 	lenders := allowance.NewPeers(p.identity.Name, p.roster, func(address string) allowance.Lender { return p.client.Hall(address) }, time.Now)
-	p.allowance = allowance.New(lenders, p.keeper.Valid, time.Now)
+	p.allowance = allowance.New(lenders, p.keeper.Valid, 0, time.Now)
 	p.keeper.Bind(p.allowance)
 	p.follower.Subscribe(p.allowance.Configure)
 	p.suspects = suspect.New(p.store, maxDeaths, time.Now, p.logs.Layer("suspect"))
--- a/kernel/limit/bucket.go
+++ b/kernel/limit/bucket.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	bucket := limit.NewBucket(now)
+//	bucket := limit.NewBucket(now, 0)
 //	bucket.Configure(now, row.Rate(), float64(row.Burst()))
 //	bucket.SetShare(now, 0.25)
 //	if !bucket.Take(now) {
@@ -81,13 +81,15 @@
 	lastLoan uint64
 	demand   float64 // Tokens asked for here a second, averaged.
 	asked    time.Time
+	deficit  deficit
 }
 
 // NewBucket returns an empty bucket without a share. It begins to refill once
 // every loan that an earlier incarnation of this hall may have given has
-// expired.
-func NewBucket(now time.Time) *Bucket {
-	return &Bucket{updated: now.Add(LoanLength), lastLoan: uint64(now.UnixNano())}
+// expired. If the row is counted over windows, the bucket makes the burst of
+// each window usable; a window of zero keeps to the rate.
+func NewBucket(now time.Time, window time.Duration) *Bucket {
+	return &Bucket{updated: now.Add(LoanLength), lastLoan: uint64(now.UnixNano()), deficit: deficit{window: window, start: now}}
 }
 
 // Configure sets the row's rate in tokens per second and its burst.
@@ -310,12 +312,31 @@
 	}
 }
 
+// advance refills up to a time, in steps over which the deficit changes little.
 func (b *Bucket) advance(to time.Time) {
-	if to.After(b.updated) {
-		b.tokens += b.rate * b.share * to.Sub(b.updated).Seconds()
+	if b.deficit.window > 0 {
+		step := b.deficit.length()
+		if begin := to.Add(-deficitSteps * step); begin.After(b.updated) {
+			b.tokens += b.rate * b.share * begin.Sub(b.updated).Seconds()
+			b.updated = begin
+			b.clip()
+		}
+		for to.Sub(b.updated) > step {
+			b.add(b.updated.Add(step))
+		}
+	}
+	b.add(to)
+}
+
+// add refills up to a time.
+func (b *Bucket) add(to time.Time) {
+	if length := to.Sub(b.updated); length > 0 {
+		b.tokens += b.rate * b.share * length.Seconds()
+		b.tokens += b.deficit.rate(b.updated, length, b.capacity()-b.tokens) * length.Seconds()
 		b.updated = to
 	}
 	b.clip()
+	b.deficit.note(b.updated, b.capacity()-b.tokens)
 }
 
 func (b *Bucket) capacity() float64 {
--- a/kernel/limit/bucket_test.go
+++ b/kernel/limit/bucket_test.go
@@ -30,6 +30,28 @@
 	return nil
 }
 
+// windowMeter checks that no window holds more than rate times its length plus
+// burst.
+type windowMeter struct {
+	rate, burst float64
+	window      time.Duration
+	admitted    []time.Time
+}
+
+func (m *windowMeter) admit(now time.Time) error {
+	for len(m.admitted) > 0 && now.Sub(m.admitted[0]) >= m.window {
+		m.admitted = m.admitted[1:]
+	}
+	m.admitted = append(m.admitted, now)
+	if most := m.rate*m.window.Seconds() + m.burst; float64(len(m.admitted)) > most+epsilon {
+		return fmt.Errorf("%d requests in a window of %v, %.3f are allowed", len(m.admitted), m.window, most)
+	}
+	return nil
+}
+
+// admitter is a meter or a windowMeter.
+type admitter interface{ admit(now time.Time) error }
+
 // halls is a model of several halls that lend to each other by messages which
 // are late, lost or repeated.
 type halls struct {
@@ -39,7 +61,8 @@
 	buckets []*limit.Bucket
 	shares  []float64
 	pending []message
-	meter   meter
+	window  time.Duration
+	meter   admitter
 }
 
 // message is something that will happen at a hall later.
@@ -48,21 +71,25 @@
 	apply func()
 }
 
-func newHalls(rt *rapid.T) *halls {
+func newHalls(rt *rapid.T, window time.Duration) *halls {
 	count := rapid.IntRange(1, 5).Draw(rt, "halls")
 	h := &halls{
-		now: time.Unix(1000, 0), rate: float64(rapid.IntRange(1, 500).Draw(rt, "rate")), burst: float64(rapid.IntRange(1, 200).Draw(rt, "burst")),
+		window: window,
+		now:    time.Unix(1000, 0), rate: float64(rapid.IntRange(1, 500).Draw(rt, "rate")), burst: float64(rapid.IntRange(1, 200).Draw(rt, "burst")),
 	}
 	for range count {
 		h.buckets = append(h.buckets, h.fresh(1/float64(count)))
 		h.shares = append(h.shares, 1/float64(count))
 	}
-	h.meter = meter{rate: h.rate, burst: h.burst, last: h.now}
+	h.meter = &meter{rate: h.rate, burst: h.burst, last: h.now}
+	if window > 0 {
+		h.meter = &windowMeter{rate: h.rate, burst: h.burst, window: window}
+	}
 	return h
 }
 
 func (h *halls) fresh(share float64) *limit.Bucket {
-	bucket := limit.NewBucket(h.now)
+	bucket := limit.NewBucket(h.now, h.window)
 	bucket.Configure(h.now, h.rate, h.burst)
 	bucket.SetShare(h.now, share)
 	return bucket
@@ -96,7 +123,7 @@
 // TestLentCapacityStaysClosed lends, lets the lender refill, and spends all.
 func TestLentCapacityStaysClosed(t *testing.T) {
 	now := time.Unix(1000, 0)
-	lender, borrower := limit.NewBucket(now), limit.NewBucket(now)
+	lender, borrower := limit.NewBucket(now, 0), limit.NewBucket(now, 0)
 	for _, bucket := range []*limit.Bucket{lender, borrower} {
 		bucket.Configure(now, 1000, 20)
 		bucket.SetShare(now, 0.5)
@@ -117,14 +144,79 @@
 
 func TestNoMoreThanTheRowOverAllHalls(t *testing.T) {
 	for range 10 {
-		checkRow(t)
+		checkRow(t, 0)
+	}
+}
+
+// TestNoMoreThanTheRowInAnyWindow counts over windows, whose bursts the buckets
+// make usable.
+func TestNoMoreThanTheRowInAnyWindow(t *testing.T) {
+	for range 10 {
+		checkRow(t, 2*time.Second)
+	}
+}
+
+// TestWindowsHoldThroughLoadsOfAllShapes lets spells of idleness, of light and of
+// heavy load follow each other at one hall.
+func TestWindowsHoldThroughLoadsOfAllShapes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const window = 2 * time.Second
+		now := time.Unix(1000, 0)
+		rate := float64(rapid.IntRange(1, 100).Draw(rt, "rate"))
+		burst := float64(rapid.IntRange(1, 200).Draw(rt, "burst"))
+		bucket := limit.NewBucket(now, window)
+		bucket.Configure(now, rate, burst)
+		bucket.SetShare(now, 1)
+		watched := &windowMeter{rate: rate, burst: burst, window: window}
+		for range rapid.IntRange(1, 12).Draw(rt, "spells") {
+			length := time.Duration(rapid.IntRange(1, 4000).Draw(rt, "milliseconds")) * time.Millisecond
+			pause := time.Duration(rapid.SampledFrom([]int{1, 7, 100, 900, 5000}).Draw(rt, "pause")) * time.Millisecond
+			atOnce := rapid.SampledFrom([]int{0, 1, 3, 1000}).Draw(rt, "at once")
+			for end := now.Add(length); now.Before(end); now = now.Add(pause) {
+				for number := 0; number < atOnce && bucket.Take(now); number++ {
+					if err := watched.admit(now); err != nil {
+						rt.Fatal(err)
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestBurstOfEachWindowIsUsable keeps a workspace far over its rate and wants
+// each later window to hold rate times length plus burst too.
+func TestBurstOfEachWindowIsUsable(t *testing.T) {
+	const (
+		rate   = 50.0
+		burst  = 50.0
+		window = 5 * time.Second
+		step   = 10 * time.Millisecond
+		wanted = 0.97
+	)
+	now := time.Unix(1000, 0)
+	bucket := limit.NewBucket(now, window)
+	bucket.Configure(now, rate, burst)
+	bucket.SetShare(now, 1)
+	begin := now.Add(3 * window) // The deficit is known after some windows.
+	end := begin.Add(4 * window)
+	count := 0
+	for ; now.Before(end); now = now.Add(step) {
+		for bucket.Take(now) {
+			if !now.Before(begin) {
+				count++
+			}
+		}
+	}
+	whole := 4 * (rate*window.Seconds() + burst)
+	if got := float64(count) / whole; got < wanted {
+		t.Errorf("admitted part of what four windows may hold: got %.3f, want at least %.2f", got, wanted)
 	}
 }
 
-func checkRow(t *testing.T) {
+func checkRow(t *testing.T, window time.Duration) {
 	t.Helper()
 	rapid.Check(t, func(rt *rapid.T) {
-		h := newHalls(rt)
+		h := newHalls(rt, window)
 		rt.Repeat(map[string]func(*rapid.T){
 			"time passes": func(rt *rapid.T) {
 				h.advance(time.Duration(rapid.SampledFrom([]int{1, 10, 50, 150, 300, 3000}).Draw(rt, "milliseconds")) * time.Millisecond)
@@ -195,7 +287,7 @@
 
 func TestLoweredRowHoldsOnceInstalled(t *testing.T) {
 	now := time.Unix(1000, 0)
-	bucket := limit.NewBucket(now)
+	bucket := limit.NewBucket(now, 0)
 	bucket.Configure(now, 100, 100)
 	bucket.SetShare(now, 1)
 	now = now.Add(10 * time.Second)
@@ -219,7 +311,7 @@
 	t.Helper()
 	start := time.Unix(1000, 0)
 	now := start
-	idle, busy := limit.NewBucket(now), limit.NewBucket(now)
+	idle, busy := limit.NewBucket(now, 0), limit.NewBucket(now, 0)
 	for _, bucket := range []*limit.Bucket{idle, busy} {
 		bucket.Configure(now, 100, burst)
 		bucket.SetShare(now, 0.5)
@@ -242,7 +334,7 @@
 
 func BenchmarkTake(b *testing.B) {
 	now := time.Unix(1000, 0)
-	bucket := limit.NewBucket(now)
+	bucket := limit.NewBucket(now, 0)
 	bucket.Configure(now, 1e9, 1e9)
 	bucket.SetShare(now, 1)
 	now = now.Add(time.Minute)
