Start from what other halls know while the store does not answer

Cause: a hall that restarts while the store is away, or turns it away, knew no configuration, engines or keepers and could not prove its share of the rates, so it answered 503 until the store was back.

Such a state carries its age. A share is inherited from the earlier incarnation only while nobody can have taken it over: its key must have been seen less than a tenure ago.

--- a/hall/allowance/keeper.go
+++ b/hall/allowance/keeper.go
@@ -31,6 +31,9 @@
 	deadInterval = 5 * time.Second
 	// racePause is the longest wait after a lost race.
 	racePause = 30 * time.Millisecond
+	// inheritMargin covers the time by which another host may believe too long
+	// that the service still answers it.
+	inheritMargin = 5 * time.Second
 	// epochPoll is the pause between two looks for a new registration.
 	epochPoll = 50 * time.Millisecond
 )
@@ -41,6 +44,11 @@
 // hall whose key is gone may be taken by anybody; a hall that lost its lease
 // must confirm its entry by compare-and-swap before it spends again, so one of
 // the two loses that race.
+//
+// A hall that starts while the service does not answer it goes on with the parts
+// of its earlier incarnation, which no longer runs, as long as nobody can have
+// taken these over: another host must have seen the earlier key less than a tenure
+// ago.
 type Keeper struct {
 	store       platform.Store
 	hall        string
@@ -50,7 +58,8 @@
 	outage      func(now time.Time) bool
 	logger      *zap.Logger
 
-	confirmed atomic.Uint64 // Epoch of the registration under which the entry was confirmed.
+	confirmed atomic.Uint64             // Epoch of the registration under which the entry was confirmed.
+	inherited atomic.Pointer[time.Time] // Until when the earlier incarnation's parts may be spent.
 
 	// The fields below belong to the goroutine of Follow.
 	shares      limit.Shares
@@ -81,6 +90,9 @@
 
 // Valid reports whether this hall may spend its share at that time.
 func (k *Keeper) Valid(now time.Time) bool {
+	if until := k.inherited.Load(); until != nil && now.Before(*until) {
+		return true
+	}
 	if k.confirmed.Load() == 0 || k.confirmed.Load() != k.registrar.Epoch() {
 		return false
 	}
@@ -116,6 +128,9 @@
 
 // Replace implements platform.Subscriber.
 func (k *Keeper) Replace(ctx context.Context, listing platform.Listing) error {
+	if listing.Age > 0 {
+		return k.inherit(ctx, listing)
+	}
 	if len(listing.Entries) == 0 {
 		return k.create(ctx)
 	}
@@ -164,6 +179,34 @@
 	return k.registrar.Leave(ctx)
 }
 
+// inherit takes on the parts of this hall's earlier incarnation from a table that
+// another host has read.
+func (k *Keeper) inherit(ctx context.Context, listing platform.Listing) error {
+	if k.confirmed.Load() != 0 || len(listing.Entries) == 0 {
+		return errors.New("no share to inherit")
+	}
+	var shares limit.Shares
+	if err := json.Unmarshal(listing.Entries[0].Value, &shares); err != nil {
+		return err
+	}
+	holders, err := k.store.List(ctx, holdersPrefix)
+	if err != nil {
+		return err
+	}
+	own, found := shares.OfHall(k.hall)
+	if !found || !holders.Holds(holdersPrefix+k.hall) {
+		return errors.New("the earlier share may have been taken over")
+	}
+	age := max(listing.Age, holders.Age)
+	until := time.Now().Add(TenureLength - inheritMargin - age)
+	k.allowance.SetShare(own.Parts(), false)
+	if k.inherited.Swap(&until) != nil {
+		return nil
+	}
+	k.logger.Info("earlier share in force until the service answers", zap.Int64("parts", own.Parts()), zap.Duration("age", age), zap.Time("until", until))
+	return nil
+}
+
 func (k *Keeper) create(ctx context.Context) error {
 	if k.registrar.Epoch() == 0 {
 		return errors.New("not registered as a holder yet")
@@ -181,6 +224,9 @@
 	}
 	k.shares = shares
 	k.version = entry.Version
+	if _, listed := shares.OfHall(k.hall); !listed && k.inherited.Swap(nil) != nil {
+		k.allowance.SetShare(0, false)
+	}
 	own, found := shares.Of(k.hall, k.incarnation)
 	if !found || k.mustConfirm || k.confirmed.Load() != k.registrar.Epoch() {
 		return k.confirm(ctx)
@@ -217,6 +263,7 @@
 	}
 	k.mustConfirm = false
 	k.confirmed.Store(epoch)
+	k.inherited.Store(nil)
 	return nil
 }
 
@@ -263,6 +310,9 @@
 	if err != nil {
 		return err
 	}
+	if listing.Age > 0 {
+		return errors.New("holders not read from the service")
+	}
 	alive := make(map[string]bool)
 	for _, entry := range listing.Entries {
 		alive[entry.Key] = true
--- a/hall/allowance/keeper_test.go
+++ b/hall/allowance/keeper_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/hall/allowance"
+	"limpethall.dev/kernel/limit"
+	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/platform/memory"
 )
 
@@ -43,3 +47,76 @@
 		}
 	})
 }
+
+// recalledStore answers listings with what it held so long ago, and nothing else.
+type recalledStore struct {
+	platform.Store
+	held map[string]platform.Entry
+	age  time.Duration
+}
+
+func (s *recalledStore) List(_ context.Context, prefix string) (platform.Listing, error) {
+	listing := platform.Listing{Revision: 1, Age: s.age}
+	for key, entry := range s.held {
+		if strings.HasPrefix(key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	return listing, nil
+}
+
+func (s *recalledStore) Watch(context.Context, string, uint64) (platform.Changes, error) {
+	return platform.Changes{}, platform.NewUnavailableError("watch", false, context.DeadlineExceeded)
+}
+
+func (s *recalledStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	return 0, platform.NewUnavailableError("grant", true, context.DeadlineExceeded)
+}
+
+// TestShareOfTheEarlierIncarnation starts a hall while the service is away, with
+// a table that another host has read.
+func TestShareOfTheEarlierIncarnation(t *testing.T) {
+	const hall = "hall-0"
+	table, err := json.Marshal(limit.NewShares(hall, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	shares := platform.Entry{Key: "limits/shares", Value: table, Version: 1}
+	holder := platform.Entry{Key: "limits/holders/" + hall, Value: []byte("1"), Version: 1}
+	cases := []struct {
+		name      string
+		held      []platform.Entry
+		age       time.Duration
+		wantSoon  bool
+		wantParts int64
+	}{
+		{"its key was there just now", []platform.Entry{shares, holder}, time.Second, true, limit.WholeParts},
+		{"its key is gone, so that the share may be another's", []platform.Entry{shares}, time.Second, false, 0},
+		{"its key was there a tenure ago", []platform.Entry{shares, holder}, allowance.TenureLength, false, limit.WholeParts},
+		{"it has no entry in the table", []platform.Entry{holder}, time.Second, false, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				store := &recalledStore{held: make(map[string]platform.Entry), age: c.age}
+				for _, entry := range c.held {
+					store.held[entry.Key] = entry
+				}
+				keeper := allowance.NewKeeper(store, hall, 2, func(time.Time) bool { return true }, zap.NewNop())
+				spending := allowance.New(nil, keeper.Valid, 0, time.Now)
+				keeper.Bind(spending)
+				go func() { _ = keeper.Follow(ctx) }()
+				time.Sleep(100 * time.Millisecond)
+				if got, want := keeper.Valid(time.Now()), c.wantSoon; got != want {
+					t.Errorf("may spend: got %t, want %t", got, want)
+				}
+				if got, want := spending.Parts(), c.wantParts; got != want {
+					t.Errorf("parts: got %d, want %d", got, want)
+				}
+			})
+		})
+	}
+}
--- a/kernel/limit/shares.go
+++ b/kernel/limit/shares.go
@@ -52,6 +52,15 @@
 	return s.holders[index], true
 }
 
+// OfHall returns the share of a hall in whatever incarnation.
+func (s Shares) OfHall(hall string) (Share, bool) {
+	index := s.index(hall)
+	if index < 0 {
+		return Share{}, false
+	}
+	return s.holders[index], true
+}
+
 // Total returns the sum of all parts.
 func (s Shares) Total() int64 {
 	total := int64(0)
--- a/kernel/platform/store.go
+++ b/kernel/platform/store.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"limpethall.dev/kernel/network"
@@ -35,6 +36,14 @@
 type Listing struct {
 	Entries  []Entry
 	Revision uint64
+	// Age is how long ago the service confirmed the state; zero if it has just
+	// answered by itself.
+	Age time.Duration
+}
+
+// Holds reports whether a key is there.
+func (l Listing) Holds(key string) bool {
+	return slices.ContainsFunc(l.Entries, func(entry Entry) bool { return entry.Key == key })
 }
 
 // Event is one change of a key. Deleted events carry no value.
