Let a hall that restarts refill its buckets at once

Change: a hall lends at most half of its capacity at a time, so the other half refills from the start.

Ruled out: beginning with tokens (a row could be passed by restarts in series); the time dark is not known to a process without a disk.

TestRestartedHallRefillsAtOnce: 0 tokens after 0.2 s before, 20 of 20 after; and no more than the burst together with what was lent.

--- a/kernel/limit/bucket.go
+++ b/kernel/limit/bucket.go
@@ -35,6 +35,10 @@
 // demandMemory is the time over which this hall's own demand is averaged.
 const demandMemory = time.Second
 
+// lentPart is the most of its capacity that a hall has lent at a time. The rest
+// is what it may use at once if it starts again and doesn't know its loans.
+const lentPart = 0.5
+
 // maxLoans bounds the open loans of one bucket; further ones are refused.
 const maxLoans = 64
 
@@ -82,14 +86,16 @@
 	demand   float64 // Tokens asked for here a second, averaged.
 	asked    time.Time
 	deficit  deficit
+	// Until then loans of an earlier incarnation of this hall may be spent.
+	earlierLoans time.Time
 }
 
-// NewBucket returns an empty bucket without a share. It begins to refill once
-// every loan that an earlier incarnation of this hall may have given has
-// expired. If the row is counted over windows, the bucket makes the burst of
+// NewBucket returns an empty bucket without a share. The part of its capacity
+// that an earlier incarnation of this hall may have lent is closed until such
+// loans have expired. If the row is counted over windows, the bucket makes the burst of
 // each window usable; a window of zero keeps to the rate.
 func NewBucket(now time.Time, window time.Duration) *Bucket {
-	return &Bucket{updated: now.Add(LoanLength), lastLoan: uint64(now.UnixNano()), deficit: deficit{window: window, start: now}}
+	return &Bucket{updated: now, earlierLoans: now.Add(LoanLength), lastLoan: uint64(now.UnixNano()), deficit: deficit{window: window, start: now}}
 }
 
 // Configure sets the row's rate in tokens per second and its burst.
@@ -233,7 +239,7 @@
 	defer b.mutex.Unlock()
 	b.refill(now)
 	b.lent = slices.DeleteFunc(b.lent, func(loan timedLoan) bool { return slices.Contains(settled, loan.id) })
-	amount := min(wanted, b.tokens)
+	amount := min(wanted, b.tokens, lentPart*b.burst*b.share-sum(b.lent))
 	if amount <= 0 || len(b.lent) >= maxLoans {
 		return Loan{}
 	}
@@ -314,6 +320,9 @@
 
 // advance refills up to a time, in steps over which the deficit changes little.
 func (b *Bucket) advance(to time.Time) {
+	if b.updated.Before(b.earlierLoans) && to.After(b.earlierLoans) {
+		b.advance(b.earlierLoans)
+	}
 	if b.deficit.window > 0 {
 		step := b.deficit.length()
 		if begin := to.Add(-deficitSteps * step); begin.After(b.updated) {
@@ -340,7 +349,11 @@
 }
 
 func (b *Bucket) capacity() float64 {
-	return max(0, b.burst*b.share-sum(b.lent))
+	closed := sum(b.lent)
+	if b.updated.Before(b.earlierLoans) {
+		closed += lentPart * b.burst * b.share
+	}
+	return max(0, b.burst*b.share-closed)
 }
 
 func (b *Bucket) clip() {
--- a/kernel/limit/bucket_test.go
+++ b/kernel/limit/bucket_test.go
@@ -183,6 +183,35 @@
 	})
 }
 
+// TestRestartedHallRefillsAtOnce restarts a hall whose earlier incarnation had
+// lent all that it may. Callers that its end cut off come back at once, so it must
+// refill from its start, but not hold more than what can't be lent.
+func TestRestartedHallRefillsAtOnce(t *testing.T) {
+	const (
+		rate  = 100.0
+		burst = 50.0
+		soon  = 200 * time.Millisecond
+	)
+	now := time.Unix(1000, 0)
+	lender, borrower := limit.NewBucket(now, 0), limit.NewBucket(now, 0)
+	lender.Configure(now, rate, burst)
+	lender.SetShare(now, 1)
+	now = now.Add(2 * time.Second)
+	lent := lender.Lend(now, burst, nil)
+	borrower.Accept(now, now, "lender", lent)
+	restarted := limit.NewBucket(now, 0)
+	restarted.Configure(now, rate, burst)
+	restarted.SetShare(now, 1)
+	now = now.Add(soon)
+	if got, want := restarted.Tokens(now), rate*soon.Seconds(); got < want-epsilon {
+		t.Errorf("tokens %s after the restart: got %.1f, want %.1f", soon, got, want)
+	}
+	now = now.Add(limit.LoanLength - soon - time.Millisecond)
+	if got, most := restarted.Tokens(now)+borrower.Tokens(now), burst; got > most+epsilon {
+		t.Errorf("tokens of the restarted hall and its borrower: got %.1f, want at most the burst of %.0f", got, most)
+	}
+}
+
 // TestBurstOfEachWindowIsUsable keeps a workspace far over its rate and wants
 // each later window to hold rate times length plus burst too.
 func TestBurstOfEachWindowIsUsable(t *testing.T) {
