--- a/kernel/relay/relay.go
+++ b/kernel/relay/relay.go
@@ -31,7 +31,8 @@
 )
 
 // firstWait is how long the service has for its first answer before other hosts
-// are asked.
+// are asked. Later it has the time that the direct store gives it, which may just
+// be slow.
 const firstWait = 300 * time.Millisecond
 
 // peerTimeout bounds the call to another host, which answers from memory.
@@ -56,6 +57,7 @@
 
 	mutex    sync.Mutex
 	prefixes map[string]*memory
+	listed   map[string]bool
 }
 
 // peer is another host.
@@ -75,7 +77,7 @@
 // New returns a store that reads and writes through the direct one.
 func New(direct platform.Store, options Options, now func() time.Time, logger *zap.Logger) *Store {
 	s := &Store{
-		Store: direct, now: now, logger: logger, prefixes: make(map[string]*memory),
+		Store: direct, now: now, logger: logger, prefixes: make(map[string]*memory), listed: make(map[string]bool),
 		client: &http.Client{Transport: &http.Transport{DialContext: options.Network.DialContext, DisableCompression: true}},
 	}
 	for _, address := range options.Peers {
@@ -94,9 +96,13 @@
 	if len(s.peers) == 0 || s.isDirect(prefix) {
 		return s.listDirect(ctx, prefix)
 	}
-	first, cancel := context.WithTimeout(ctx, firstWait)
-	defer cancel()
-	listing, err := s.listDirect(first, prefix)
+	direct := ctx
+	if s.isFirst(prefix) {
+		bounded, cancel := context.WithTimeout(ctx, firstWait)
+		defer cancel()
+		direct = bounded
+	}
+	listing, err := s.listDirect(direct, prefix)
 	var away *platform.UnavailableError
 	if err == nil || !errors.As(err, &away) {
 		return listing, err
@@ -146,6 +152,15 @@
 	return platform.Listing{Entries: entries, Revision: known.revision, Age: max(0, s.now().Sub(known.read))}, true
 }
 
+// isFirst reports whether a prefix has not been listed before.
+func (s *Store) isFirst(prefix string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	first := !s.listed[prefix]
+	s.listed[prefix] = true
+	return first
+}
+
 func (s *Store) isDirect(prefix string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
