Describe a store call once for both store clients

httpjson and kv each had the same request type beside platform.JSONCall, and the same mapping from it. JSONCall now says what the call is about; a client gives its caller one function that turns a status into an error. No change in behaviour: the contract of all stores passes for both.

--- a/kernel/platform/httpjson/store.go
+++ b/kernel/platform/httpjson/store.go
@@ -68,10 +68,7 @@
 }
 
 // Store is a client of the service.
-type Store struct {
-	timeout time.Duration
-	caller  *platform.JSONCaller
-}
+type Store struct{ caller *platform.JSONCaller }
 
 // New returns a client of the first address. Timeout bounds every call but a
 // watch.
@@ -83,7 +80,7 @@
 	if timeout <= 0 {
 		timeout = time.Second
 	}
-	return &Store{timeout: timeout, caller: platform.NewJSONCaller(options.Network, options.Addresses[0], idleConnections)}, nil
+	return &Store{caller: platform.NewJSONCaller(options.Network, options.Addresses[0], idleConnections, timeout, failed)}, nil
 }
 
 // Close closes idle connections.
@@ -92,7 +89,7 @@
 // Get implements platform.Store.
 func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
 	var entry EntryDocument
-	if err := s.call(ctx, request{method: http.MethodGet, path: keyPath(key), key: key}, &entry); err != nil {
+	if err := s.call(ctx, platform.JSONCall{Method: http.MethodGet, Path: keyPath(key), Key: key}, &entry); err != nil {
 		return platform.Entry{}, err
 	}
 	return entry.entry(), nil
@@ -102,7 +99,7 @@
 func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	var list ListDocument
 	path := "/v1/keys?prefix=" + url.QueryEscape(prefix)
-	if err := s.call(ctx, request{method: http.MethodGet, path: path}, &list); err != nil {
+	if err := s.call(ctx, platform.JSONCall{Method: http.MethodGet, Path: path}, &list); err != nil {
 		return platform.Listing{}, err
 	}
 	listing := platform.Listing{Revision: list.Revision}
@@ -116,41 +113,41 @@
 func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (platform.Entry, error) {
 	var entry EntryDocument
 	body := PutDocument{Value: value, Version: expected, Lease: uint64(lease)}
-	err := s.call(ctx, request{method: http.MethodPut, path: keyPath(key), key: key, expected: expected, lease: lease, body: body, write: true}, &entry)
+	err := s.call(ctx, platform.JSONCall{Method: http.MethodPut, Path: keyPath(key), Key: key, Expected: expected, Lease: lease, Body: body, Write: true}, &entry)
 	return entry.entry(), err
 }
 
 // Delete implements platform.Store.
 func (s *Store) Delete(ctx context.Context, key string, expected uint64) error {
 	path := keyPath(key) + "?version=" + strconv.FormatUint(expected, 10)
-	return s.call(ctx, request{method: http.MethodDelete, path: path, key: key, expected: expected, write: true}, nil)
+	return s.call(ctx, platform.JSONCall{Method: http.MethodDelete, Path: path, Key: key, Expected: expected, Write: true}, nil)
 }
 
 // Grant implements platform.Store.
 func (s *Store) Grant(ctx context.Context, length time.Duration) (platform.LeaseID, error) {
 	var lease LeaseDocument
 	body := LeaseDocument{Milliseconds: length.Milliseconds()}
-	err := s.call(ctx, request{method: http.MethodPost, path: "/v1/leases", body: body, write: true}, &lease)
+	err := s.call(ctx, platform.JSONCall{Method: http.MethodPost, Path: "/v1/leases", Body: body, Write: true}, &lease)
 	return platform.LeaseID(lease.ID), err
 }
 
 // KeepAlive implements platform.Store.
 func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
 	path := fmt.Sprintf("/v1/leases/%d/keepalive", lease)
-	return s.call(ctx, request{method: http.MethodPost, path: path, lease: lease, write: true}, nil)
+	return s.call(ctx, platform.JSONCall{Method: http.MethodPost, Path: path, Lease: lease, Write: true}, nil)
 }
 
 // Revoke implements platform.Store.
 func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
 	path := fmt.Sprintf("/v1/leases/%d", lease)
-	return s.call(ctx, request{method: http.MethodDelete, path: path, lease: lease, write: true}, nil)
+	return s.call(ctx, platform.JSONCall{Method: http.MethodDelete, Path: path, Lease: lease, Write: true}, nil)
 }
 
 // Watch implements platform.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (platform.Changes, error) {
 	var list ListDocument
 	path := fmt.Sprintf("/v1/watch?prefix=%s&after=%d&milliseconds=%d", url.QueryEscape(prefix), after, watchWait.Milliseconds())
-	err := s.call(ctx, request{method: http.MethodGet, path: path, expected: after, timeout: watchWait + watchSlack}, &list)
+	err := s.call(ctx, platform.JSONCall{Method: http.MethodGet, Path: path, Expected: after, Timeout: watchWait + watchSlack}, &list)
 	if err != nil {
 		return platform.Changes{}, err
 	}
@@ -161,37 +158,23 @@
 	return changes, nil
 }
 
-type request struct {
-	method   string
-	path     string
-	key      string
-	expected uint64
-	lease    platform.LeaseID
-	body     any
-	write    bool
-	timeout  time.Duration
-}
-
-func (s *Store) call(ctx context.Context, r request, answer any) error {
-	call := platform.JSONCall{Method: r.method, Path: r.path, Name: r.method + " " + r.path, Body: r.body, Write: r.write, Timeout: s.timeout}
-	if r.timeout > 0 {
-		call.Timeout = r.timeout
-	}
-	return s.caller.Do(ctx, call, answer, func(status int) error { return r.failed(call, status) })
+func (s *Store) call(ctx context.Context, call platform.JSONCall, answer any) error {
+	call.Name = call.Method + " " + call.Path
+	return s.caller.Do(ctx, call, answer)
 }
 
-func (r request) failed(call platform.JSONCall, status int) error {
+func failed(call platform.JSONCall, status int) error {
 	switch status {
 	case http.StatusNotFound:
-		return platform.NewNotFoundError(r.key)
+		return platform.NewNotFoundError(call.Key)
 	case http.StatusConflict:
-		return platform.NewConflictError(r.key, r.expected)
+		return platform.NewConflictError(call.Key, call.Expected)
 	case http.StatusGone:
-		return platform.NewLeaseLostError(r.lease)
+		return platform.NewLeaseLostError(call.Lease)
 	case http.StatusRequestedRangeNotSatisfiable:
-		return platform.NewGapError(r.expected)
+		return platform.NewGapError(call.Expected)
 	default:
-		return call.Refused(status, r.write)
+		return call.Refused(status, call.Write)
 	}
 }
 
--- a/kernel/platform/jsoncaller.go
+++ b/kernel/platform/jsoncaller.go
@@ -19,18 +19,21 @@
 // JSONCaller makes the calls of a Store plug-in whose service speaks JSON over
 // HTTP. It sends nothing twice.
 type JSONCaller struct {
-	base   string
-	client *http.Client
+	base    string
+	client  *http.Client
+	timeout time.Duration
+	failed  func(call JSONCall, status int) error
 }
 
 // NewJSONCaller returns a caller of an address that keeps so many idle
-// connections.
-func NewJSONCaller(own network.Network, address string, idleConnections int) *JSONCaller {
+// connections. timeout bounds calls that state none; failed returns the error of a
+// call that was answered with another status than 200.
+func NewJSONCaller(own network.Network, address string, idleConnections int, timeout time.Duration, failed func(call JSONCall, status int) error) *JSONCaller {
 	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
 	if own != nil {
 		transport.DialContext = own.DialContext
 	}
-	return &JSONCaller{base: "http://" + address, client: &http.Client{Transport: transport}}
+	return &JSONCaller{base: "http://" + address, client: &http.Client{Transport: transport}, timeout: timeout, failed: failed}
 }
 
 // Close closes idle connections.
@@ -41,19 +44,26 @@
 	Method string
 	// Path is path and query.
 	Path string
-	// Name stands for the call in errors.
+	// Name stands for the call in errors and counts.
 	Name string
+	// Key, Expected and Lease are what the call is about, for its errors.
+	Key      string
+	Expected uint64
+	Lease    LeaseID
 	// Body is sent as JSON, nil for none.
 	Body any
 	// Write says that the call may have an effect although it is not answered.
-	Write   bool
+	Write bool
+	// Timeout bounds the call; zero stands for the caller's own.
 	Timeout time.Duration
 }
 
 // Do makes the call. An answer of status 200 is decoded into answer, which may
-// be nil; for any other status failed returns the error. A call that is not
-// answered is an *UnavailableError.
-func (c *JSONCaller) Do(ctx context.Context, call JSONCall, answer any, failed func(status int) error) error {
+// be nil. A call that is not answered is an *UnavailableError.
+func (c *JSONCaller) Do(ctx context.Context, call JSONCall, answer any) error {
+	if call.Timeout <= 0 {
+		call.Timeout = c.timeout
+	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	outgoing, err := call.request(ctx, c.base)
@@ -69,7 +79,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return failed(response.StatusCode)
+		return c.failed(call, response.StatusCode)
 	}
 	if answer == nil {
 		_, err := io.Copy(io.Discard, response.Body)
