--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -53,15 +53,8 @@
 	Splits []Split
 	// Timeout is the longest time a request may be kept waiting.
 	Timeout time.Duration
-	// Objective is the latency within which an answer is in time; for a stream
-	// it counts up to the first event.
-	Objective time.Duration
-	// MaxGap is the longest pause between events that is in time.
-	MaxGap time.Duration
 	// Attempts is the greatest number of backend servers for one request.
 	Attempts int
-	// Priority is the rank; zero is the highest.
-	Priority int
 	// Open routes need no key.
 	Open bool
 	// Resumable streams may go on at another backend server.
@@ -85,8 +78,6 @@
 	// MaxConnections is how many connections a backend server takes from all
 	// hosts together; zero means not stated.
 	MaxConnections int
-	// ColdTime is how long a backend server is cold after its start.
-	ColdTime time.Duration
 	// ColdRate is how many requests a second a cold backend server bears.
 	ColdRate float64
 	// Slots is how many requests a model engine runs at once; zero for plain
@@ -98,17 +89,15 @@
 
 // Workspace is a workspace with its keys.
 type Workspace struct {
-	Name     string
-	Keys     []string
-	Rate     float64
-	Burst    int64
-	Priority int
+	Name  string
+	Keys  []string
+	Rate  float64
+	Burst int64
 }
 
 // Limits bound what a caller may send and how long it may take; zero means
 // not stated.
 type Limits struct {
-	HeaderBytes   int
 	BodyBytes     int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
