Pass changes on to hosts that the store turns away

Cause: the store may turn some machines away and serve the others.

Change: a watch that fails goes on with the changes that another host has seen (kernel/relay), if that host has heard from the store later than this one.

--- a/kernel/relay/relay.go
+++ b/kernel/relay/relay.go
@@ -4,9 +4,10 @@
 // A Store remembers the state of each prefix that is listed or watched through
 // it, and serves that to other hosts. Until the service has answered its first
 // listing of a prefix, a listing that fails is taken from the other host that
-// knows the newest state; its age tells how old that is. Afterwards the service
-// alone counts, so nothing can go back to an older state. Writes always go to the
-// service.
+// knows the newest state; its age tells how old that is. A watch that fails goes on
+// with the changes that another host has seen, as long as that one has heard from
+// the service later than this one. Nothing goes back to an older state. Writes
+// always go to the service.
 //
 // # Usage
 //
@@ -18,6 +19,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,6 +27,7 @@
 
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/wire"
@@ -35,6 +38,10 @@
 // be slow.
 const firstWait = 300 * time.Millisecond
 
+// catchUpPause is the wait before another host is asked for changes. At some eight
+// prefixes a host that the service turns away asks others eight times a second.
+const catchUpPause = time.Second
+
 // peerTimeout bounds the call to another host, which answers from memory.
 const peerTimeout = 400 * time.Millisecond
 
@@ -131,8 +138,53 @@
 	changes, err := s.Store.Watch(ctx, prefix, after)
 	if err == nil {
 		s.apply(prefix, after, changes)
+		return changes, nil
+	}
+	var away *platform.UnavailableError
+	if !errors.As(err, &away) || len(s.peers) == 0 {
+		return changes, err
 	}
-	return changes, err
+	duty.Pause(ctx, catchUpPause)
+	relayed, found := s.askOne(ctx, s.peers[rand.IntN(len(s.peers))], prefix)
+	if !found {
+		return changes, err
+	}
+	caughtUp, newer := s.catchUp(prefix, after, relayed)
+	if !newer {
+		return changes, err
+	}
+	return caughtUp, nil
+}
+
+// catchUp takes in what another host has seen and returns what changed. It does
+// so only if that host has heard from the service later.
+func (s *Store) catchUp(prefix string, after uint64, relayed platform.Listing) (platform.Changes, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	held, found := s.prefixes[prefix]
+	read := s.now().Add(-relayed.Age)
+	if !found || held.revision != after || relayed.Revision < after || !read.After(held.read) {
+		return platform.Changes{}, false
+	}
+	changes := platform.Changes{Revision: relayed.Revision}
+	for _, entry := range relayed.Entries {
+		if held.entries[entry.Key].Version != entry.Version {
+			changes.Events = append(changes.Events, platform.Event{Entry: entry})
+			held.entries[entry.Key] = entry
+		}
+	}
+	for key := range held.entries {
+		if !relayed.Holds(key) {
+			changes.Events = append(changes.Events, platform.Event{Entry: platform.Entry{Key: key, Version: relayed.Revision}, Deleted: true})
+			delete(held.entries, key)
+		}
+	}
+	if len(changes.Events) > 0 {
+		s.logger.Info("changes read from another host", zap.String("prefix", prefix), zap.Uint64("revision", relayed.Revision),
+			zap.Int("events", len(changes.Events)), zap.Duration("age", relayed.Age))
+	}
+	held.revision, held.read = relayed.Revision, read
+	return changes, true
 }
 
 // recall returns what this host knows of a prefix.
@@ -201,33 +253,37 @@
 
 // ask asks all peers at once and returns the newest state.
 func (s *Store) ask(ctx context.Context, prefix string) (newest platform.Listing, found bool) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	type answer struct {
-		peer  peer
-		reply *wire.RecallReply
-		err   error
+		listing platform.Listing
+		found   bool
 	}
 	answers := make(chan answer, len(s.peers))
 	for _, asked := range s.peers {
 		go func() {
-			reply, err := asked.relay.Recall(ctx, &wire.RecallRequest{Prefix: prefix})
-			answers <- answer{peer: asked, reply: reply, err: err}
+			listing, known := s.askOne(ctx, asked, prefix)
+			answers <- answer{listing: listing, found: known}
 		}()
 	}
 	for range s.peers {
-		got := <-answers
-		if got.err != nil {
-			s.logger.Info("state not read from another host", zap.String("prefix", prefix), zap.String("host", got.peer.address), zap.Error(got.err))
-			continue
-		}
-		if got.reply.GetKnown() && (!found || got.reply.GetRevision() > newest.Revision) {
-			newest, found = listingOf(got.reply), true
+		if got := <-answers; got.found && (!found || got.listing.Revision > newest.Revision) {
+			newest, found = got.listing, true
 		}
 	}
 	return newest, found
 }
 
+// askOne asks one peer for its state.
+func (s *Store) askOne(ctx context.Context, asked peer, prefix string) (platform.Listing, bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	reply, err := asked.relay.Recall(ctx, &wire.RecallRequest{Prefix: prefix})
+	if err != nil {
+		s.logger.Info("state not read from another host", zap.String("prefix", prefix), zap.String("host", asked.address), zap.Error(err))
+		return platform.Listing{}, false
+	}
+	return listingOf(reply), reply.GetKnown()
+}
+
 func listingOf(reply *wire.RecallReply) platform.Listing {
 	// A state from another host is never as new as one from the service.
 	age := max(time.Millisecond, time.Duration(reply.GetAgeMilliseconds())*time.Millisecond)
--- a/kernel/relay/relay_test.go
+++ b/kernel/relay/relay_test.go
@@ -56,6 +56,7 @@
 	service *memory.Store
 	knowing *relay.Store
 	starts  *relay.Store
+	options relay.Options
 	server  *http.Server
 }
 
@@ -66,8 +67,8 @@
 	p.knowing = relay.New(p.service, relay.Options{Network: wires}, time.Now, zap.NewNop())
 	p.server = &http.Server{Handler: relay.NewServer(p.knowing)}
 	go func() { _ = p.server.Serve(wires) }()
-	options := relay.Options{Peers: []string{"gone:1", "b:1", "a:1"}, Own: "b:1", Network: wires}
-	p.starts = relay.New(p.service, options, time.Now, zap.NewNop())
+	p.options = relay.Options{Peers: []string{"gone:1", "b:1", "a:1"}, Own: "b:1", Network: wires}
+	p.starts = relay.New(p.service, p.options, time.Now, zap.NewNop())
 	return p
 }
 
@@ -162,3 +163,78 @@
 		}
 	})
 }
+
+// outsider reads through a service of its own that is away, while the other host
+// still reaches the real one.
+type outsider struct {
+	platform.Store
+	away bool
+}
+
+func (o *outsider) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	if o.away {
+		return platform.Listing{}, platform.NewUnavailableError("list", false, context.DeadlineExceeded)
+	}
+	return o.Store.List(ctx, prefix)
+}
+
+func (o *outsider) Watch(ctx context.Context, prefix string, after uint64) (platform.Changes, error) {
+	if o.away {
+		return platform.Changes{}, platform.NewUnavailableError("watch", false, context.DeadlineExceeded)
+	}
+	return o.Store.Watch(ctx, prefix, after)
+}
+
+// TestChangesFromAnotherHost has the service turn one host away: it hears of
+// changes and deletions from the other one, and of nothing once that one does not
+// reach the service either.
+func TestChangesFromAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		defer p.close()
+		direct := &outsider{Store: p.service}
+		options := p.options
+		options.Peers = []string{"a:1"}
+		turnedAway := relay.New(direct, options, time.Now, zap.NewNop())
+		defer turnedAway.Close()
+		p.put(t, "x/1", "one")
+		p.put(t, "x/2", "two")
+		known, err := p.knowing.List(t.Context(), "x/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listed, err := turnedAway.List(t.Context(), "x/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		direct.away = true
+		if _, err := turnedAway.Watch(t.Context(), "x/", listed.Revision); err == nil {
+			t.Error("watch while the other host has heard nothing since: got no error, want one")
+		}
+		p.put(t, "x/1", "new")
+		entry, err := p.service.Get(t.Context(), "x/2")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := p.service.Delete(t.Context(), "x/2", entry.Version); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := p.knowing.Watch(t.Context(), "x/", known.Revision); err != nil {
+			t.Fatal(err)
+		}
+		changes, err := turnedAway.Watch(t.Context(), "x/", listed.Revision)
+		if err != nil {
+			t.Fatalf("watch: got %v, want the other host's changes", err)
+		}
+		got := ""
+		for _, event := range changes.Events {
+			got += fmt.Sprintf("%s=%s deleted %t; ", event.Entry.Key, event.Entry.Value, event.Deleted)
+		}
+		if want := "x/1=new deleted false; x/2= deleted true; "; got != want {
+			t.Errorf("changes: got %q, want %q", got, want)
+		}
+		if _, err := turnedAway.Watch(t.Context(), "x/", changes.Revision); err == nil {
+			t.Error("watch while the other host hears nothing new: got no error, want one")
+		}
+	})
+}
