Call keepers through another hall while this one is cut off from them

Change: a keeper that fails is probed directly and then through a hall chosen at random; calls take the route that answered, and go back once the direct one does. Each call is now judged by its own route, and a keeper has one probe at a time.

Ruled out: forwarding whole requests (answers of engines would pass two halls).

A watch that heard nothing for 3 s counted as word from the store even when the store was silent, so the other host seemed no newer.

--- a/hall/turns/ask.go
+++ b/hall/turns/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -89,23 +90,30 @@
 func (c *Client) call(ctx context.Context, keeper keeping.Keeper, call func(ctx context.Context, keeper wire.Keeper) (any, error)) result {
 	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	reply, err := call(own, c.client(keeper))
-	c.note(own, keeper, err)
+	client, way := c.client(keeper)
+	reply, err := call(own, client)
+	c.note(own, keeper, way, err)
 	return result{reply: reply, err: err}
 }
 
 // note remembers a keeper that failed, and gives up its idle connections, which
-// may be as dead as the one that failed.
-func (c *Client) note(ctx context.Context, keeper keeping.Keeper, err error) {
+// may be as dead as the one that failed. A call along a route that is no longer
+// used says nothing of the present one.
+func (c *Client) note(ctx context.Context, keeper keeping.Keeper, way route, err error) {
 	if errors.Is(err, errStaleList) || (err != nil && errors.Is(ctx.Err(), context.Canceled)) {
 		return // The keeper is well, or another one's answer was enough.
 	}
 	c.mutex.Lock()
 	_, was := c.suspect[keeper.Name]
+	if way != c.way(keeper) {
+		c.mutex.Unlock()
+		return
+	}
 	if err == nil {
 		delete(c.suspect, keeper.Name)
 	} else {
 		c.suspect[keeper.Name] = time.Now()
+		delete(c.through, keeper.Name)
 	}
 	c.mutex.Unlock()
 	switch {
@@ -153,23 +161,99 @@
 	return answering >= min(c.rule.Quorum(), max(1, len(holding)))
 }
 
-// Probe asks the keepers that failed until they answer again. It runs until the
-// context ends.
+// Probe asks the keepers that failed until they answer again, directly or through
+// another hall. It runs until the context ends.
 func (c *Client) Probe(ctx context.Context) error {
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		duty.Pause(ctx, probePause)
 		for _, keeper := range c.suspects() {
-			go func() {
-				own, cancel := context.WithTimeout(ctx, probeTimeout)
-				defer cancel()
-				_, err := c.client(keeper).Find(own, &wire.FindTurnRequest{})
-				c.note(own, keeper, err)
-			}()
+			if c.enterProbe(keeper) {
+				go c.probe(ctx, keeper)
+			}
+		}
+		if round%directProbeRounds == 0 {
+			for _, keeper := range c.detours() {
+				go c.probeDirect(ctx, keeper)
+			}
 		}
 	}
 	return nil
 }
 
+// enterProbe reports whether no probe of a keeper is under way and marks one.
+func (c *Client) enterProbe(keeper keeping.Keeper) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.probing[keeper.Name] {
+		return false
+	}
+	c.probing[keeper.Name] = true
+	return true
+}
+
+func (c *Client) leaveProbe(keeper keeping.Keeper) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.probing, keeper.Name)
+}
+
+// probe asks a keeper that failed, first directly and then through a hall chosen
+// at random.
+func (c *Client) probe(ctx context.Context, keeper keeping.Keeper) {
+	defer c.leaveProbe(keeper)
+	if c.probeAlong(ctx, keeper, "") {
+		c.logger.Info("keeper answers again", zap.String("keeper", keeper.Name))
+		return
+	}
+	halls := c.halls()
+	if len(halls) == 0 {
+		return
+	}
+	hall := halls[rand.IntN(len(halls))]
+	if c.probeAlong(ctx, keeper, hall) {
+		c.logger.Info("keeper is called through another hall", zap.String("keeper", keeper.Name), zap.String("hall", hall))
+	}
+}
+
+// probeDirect goes back to calling a keeper directly once that works.
+func (c *Client) probeDirect(ctx context.Context, keeper keeping.Keeper) {
+	if c.probeAlong(ctx, keeper, "") {
+		c.logger.Info("keeper is called directly again", zap.String("keeper", keeper.Name))
+	}
+}
+
+// probeAlong asks a keeper along a route and uses that from now on if the keeper
+// answers.
+func (c *Client) probeAlong(ctx context.Context, keeper keeping.Keeper, hall string) bool {
+	own, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, err := (route{keeper: keeper.Address, hall: hall}).open(c.http).Find(own, &wire.FindTurnRequest{}); err != nil {
+		return false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.suspect, keeper.Name)
+	delete(c.through, keeper.Name)
+	if hall != "" {
+		c.through[keeper.Name] = hall
+	}
+	return true
+}
+
+// detours returns the listed keepers that are called through other halls.
+func (c *Client) detours() []keeping.Keeper {
+	var found []keeping.Keeper
+	all := c.keepers.List().All()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, keeper := range all {
+		if c.through[keeper.Name] != "" {
+			found = append(found, keeper)
+		}
+	}
+	return found
+}
+
 // suspects returns the listed keepers that do not answer, and forgets those
 // that are no longer listed.
 func (c *Client) suspects() []keeping.Keeper {
@@ -188,15 +272,22 @@
 	return found
 }
 
-func (c *Client) client(keeper keeping.Keeper) wire.Keeper {
+// way returns the present route to a keeper; the mutex is held.
+func (c *Client) way(keeper keeping.Keeper) route {
+	return route{keeper: keeper.Address, hall: c.through[keeper.Name]}
+}
+
+// client returns a client of a keeper and the route that it takes.
+func (c *Client) client(keeper keeping.Keeper) (wire.Keeper, route) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	known := c.clients[keeper.Address]
+	way := c.way(keeper)
+	known := c.clients[way]
 	if known == nil {
-		known = wire.NewKeeperProtobufClient("http://"+keeper.Address, c.http)
-		c.clients[keeper.Address] = known
+		known = way.open(c.http)
+		c.clients[way] = known
 	}
-	return known
+	return known, way
 }
 
 // Close closes idle connections.
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -4,11 +4,13 @@
 //
 // A reservation and a turn are stored on a quorum of the keepers that the
 // program's placement names. Keepers that fail or are slow are replaced by the
-// next of the replicas.
+// next of the replicas. A keeper that this hall does not reach is called through
+// another hall that does.
 //
 // # Usage
 //
-//	client := turns.New(rule, keepers, network, logger)
+//	client := turns.New(rule, keepers, otherHalls, network, logger)
+//	mux.HandleFunc(turns.ForwardPath(), client.Forward)
 //	group.Go("keepers that failed", client.Probe)
 //	begun, err := client.Begin(ctx, turns.Turn{Program: "3fa8", ID: "e5b2", …})
 //	err = client.Finish(ctx, begun, tokens, output)
@@ -36,6 +38,9 @@
 	hedgeDelay = 120 * time.Millisecond
 	// probePause is the wait between two questions to a keeper that failed.
 	probePause = 150 * time.Millisecond
+	// directProbeRounds is after how many such pauses a keeper that is called
+	// through another hall is asked directly.
+	directProbeRounds = 5
 	// probeTimeout bounds such a question.
 	probeTimeout = 400 * time.Millisecond
 	// settleTimeout bounds a settlement that nobody waits for.
@@ -135,24 +140,28 @@
 type Client struct {
 	rule      keeping.Rule
 	keepers   Keepers
+	halls     func() []string
 	logger    *zap.Logger
 	transport *http.Transport
 	http      *http.Client
 
 	mutex   sync.Mutex
-	clients map[string]wire.Keeper
+	clients map[route]wire.Keeper
 	suspect map[string]time.Time
+	through map[string]string // The hall through which a keeper is called.
+	probing map[string]bool   // Keepers of which a probe is under way.
 }
 
-// New returns a client.
-func New(rule keeping.Rule, keepers Keepers, own network.Network, logger *zap.Logger) *Client {
+// New returns a client. halls returns the addresses of the other halls, host and
+// port.
+func New(rule keeping.Rule, keepers Keepers, halls func() []string, own network.Network, logger *zap.Logger) *Client {
 	transport := &http.Transport{
 		DialContext: own.DialContext, MaxIdleConnsPerHost: idlePerKeeper, DisableCompression: true,
 		WriteBufferSize: 32 << 10, ReadBufferSize: 16 << 10,
 	}
 	return &Client{
-		rule: rule, keepers: keepers, logger: logger, transport: transport, http: &http.Client{Transport: transport},
-		clients: make(map[string]wire.Keeper), suspect: make(map[string]time.Time),
+		rule: rule, keepers: keepers, halls: halls, logger: logger, transport: transport, http: &http.Client{Transport: transport},
+		clients: make(map[route]wire.Keeper), suspect: make(map[string]time.Time), through: make(map[string]string), probing: make(map[string]bool),
 	}
 }
 
@@ -364,8 +373,9 @@
 		s.asked[keeper.Name] = true
 		waiting++
 		go func() {
-			reply, err := s.client.client(keeper).Find(ctx, s.request)
-			s.client.note(ctx, keeper, err)
+			client, way := s.client.client(keeper)
+			reply, err := client.Find(ctx, s.request)
+			s.client.note(ctx, keeper, way, err)
 			replies <- result{reply: reply, err: err}
 		}()
 	}
--- a/kernel/platform/store.go
+++ b/kernel/platform/store.go
@@ -57,6 +57,9 @@
 type Changes struct {
 	Events   []Event
 	Revision uint64
+	// Age is how long ago the service confirmed that there is nothing more; zero if
+	// it has just answered by itself.
+	Age time.Duration
 }
 
 // LeaseID identifies a lease; zero stands for no lease.
--- a/kernel/relay/relay.go
+++ b/kernel/relay/relay.go
@@ -2,11 +2,10 @@
 // answer it begin with what other hosts have read.
 //
 // A Store remembers the state of each prefix that is listed or watched through
-// it, and serves that to other hosts. Until the service has answered its first
-// listing of a prefix, a listing that fails is taken from the other host that
-// knows the newest state; its age tells how old that is. A watch that fails goes on
-// with the changes that another host has seen, as long as that one has heard from
-// the service later than this one. Nothing goes back to an older state. Writes
+// it, and serves that to other hosts. A listing that fails is taken from the other
+// host that knows the newest state; its age tells how old that is. A watch that
+// fails goes on with the changes that another host has seen. Both only if that host
+// has heard from the service later than this one. Nothing goes back to an older state. Writes
 // always go to the service.
 //
 // # Usage
@@ -34,10 +33,12 @@
 )
 
 // firstWait is how long the service has for its first answer before other hosts
-// are asked. Later it has the time that the direct store gives it, which may just
-// be slow.
+// are asked.
 const firstWait = 300 * time.Millisecond
 
+// laterWait is how long it has for a later one: it may just be slow.
+const laterWait = time.Second
+
 // catchUpPause is the wait before another host is asked for changes. At some eight
 // prefixes a host that the service turns away asks others eight times a second.
 const catchUpPause = time.Second
@@ -78,7 +79,6 @@
 	entries  map[string]platform.Entry
 	revision uint64
 	read     time.Time // When the service confirmed the state.
-	direct   bool      // Whether it did so to this host.
 }
 
 // New returns a store that reads and writes through the direct one.
@@ -100,25 +100,25 @@
 
 // List implements platform.Store.
 func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	if len(s.peers) == 0 || s.isDirect(prefix) {
+	if len(s.peers) == 0 {
 		return s.listDirect(ctx, prefix)
 	}
-	direct := ctx
+	wait := laterWait
 	if s.isFirst(prefix) {
-		bounded, cancel := context.WithTimeout(ctx, firstWait)
-		defer cancel()
-		direct = bounded
+		wait = firstWait
 	}
-	listing, err := s.listDirect(direct, prefix)
+	bounded, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	listing, err := s.listDirect(bounded, prefix)
 	var away *platform.UnavailableError
 	if err == nil || !errors.As(err, &away) {
 		return listing, err
 	}
 	relayed, found := s.ask(ctx, prefix)
-	if !found {
+	if !found || !s.isNewer(prefix, relayed) {
 		return listing, err
 	}
-	if s.remember(prefix, relayed, false) {
+	if s.remember(prefix, relayed) {
 		s.logger.Info("state read from another host", zap.String("prefix", prefix),
 			zap.Uint64("revision", relayed.Revision), zap.Int("entries", len(relayed.Entries)), zap.Duration("age", relayed.Age))
 	}
@@ -128,7 +128,7 @@
 func (s *Store) listDirect(ctx context.Context, prefix string) (platform.Listing, error) {
 	listing, err := s.Store.List(ctx, prefix)
 	if err == nil {
-		s.remember(prefix, listing, true)
+		s.remember(prefix, listing)
 	}
 	return listing, err
 }
@@ -146,27 +146,25 @@
 	}
 	duty.Pause(ctx, catchUpPause)
 	relayed, found := s.askOne(ctx, s.peers[rand.IntN(len(s.peers))], prefix)
-	if !found {
+	if !found || !s.isNewer(prefix, relayed) {
 		return changes, err
 	}
-	caughtUp, newer := s.catchUp(prefix, after, relayed)
-	if !newer {
-		return changes, err
+	if caughtUp, follows := s.catchUp(prefix, after, relayed); follows {
+		return caughtUp, nil
 	}
-	return caughtUp, nil
+	return changes, err
 }
 
-// catchUp takes in what another host has seen and returns what changed. It does
-// so only if that host has heard from the service later.
+// catchUp takes in a newer state and returns what changed, if what is held is the
+// state after which the changes are wanted.
 func (s *Store) catchUp(prefix string, after uint64, relayed platform.Listing) (platform.Changes, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	held, found := s.prefixes[prefix]
-	read := s.now().Add(-relayed.Age)
-	if !found || held.revision != after || relayed.Revision < after || !read.After(held.read) {
+	if !found || held.revision != after {
 		return platform.Changes{}, false
 	}
-	changes := platform.Changes{Revision: relayed.Revision}
+	changes := platform.Changes{Revision: relayed.Revision, Age: relayed.Age}
 	for _, entry := range relayed.Entries {
 		if held.entries[entry.Key].Version != entry.Version {
 			changes.Events = append(changes.Events, platform.Event{Entry: entry})
@@ -183,7 +181,7 @@
 		s.logger.Info("changes read from another host", zap.String("prefix", prefix), zap.Uint64("revision", relayed.Revision),
 			zap.Int("events", len(changes.Events)), zap.Duration("age", relayed.Age))
 	}
-	held.revision, held.read = relayed.Revision, read
+	held.revision, held.read = relayed.Revision, s.now().Add(-relayed.Age)
 	return changes, true
 }
 
@@ -213,19 +211,21 @@
 	return first
 }
 
-func (s *Store) isDirect(prefix string) bool {
+// isNewer reports whether another host has heard from the service later than this
+// one, so that its state can't be older.
+func (s *Store) isNewer(prefix string, relayed platform.Listing) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	known, found := s.prefixes[prefix]
-	return found && known.direct
+	held, found := s.prefixes[prefix]
+	return !found || (relayed.Revision >= held.revision && s.now().Add(-relayed.Age).After(held.read))
 }
 
 // remember keeps a state and reports whether it is another one than before.
-func (s *Store) remember(prefix string, listing platform.Listing, direct bool) bool {
+func (s *Store) remember(prefix string, listing platform.Listing) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	before, found := s.prefixes[prefix]
-	held := &memory{entries: make(map[string]platform.Entry, len(listing.Entries)), revision: listing.Revision, read: s.now().Add(-listing.Age), direct: direct}
+	held := &memory{entries: make(map[string]platform.Entry, len(listing.Entries)), revision: listing.Revision, read: s.now().Add(-listing.Age)}
 	for _, entry := range listing.Entries {
 		held.entries[entry.Key] = entry
 	}
@@ -248,7 +248,7 @@
 		}
 		held.entries[event.Entry.Key] = event.Entry
 	}
-	held.revision, held.read = changes.Revision, s.now()
+	held.revision, held.read = changes.Revision, s.now().Add(-changes.Age)
 }
 
 // ask asks all peers at once and returns the newest state.
