Match the scheme of the Authorization header in any case at the product's entry too

Cause: 'Authorization: bearer KEY' was refused with 401, though the scheme's name is case-insensitive (RFC 9110, 11.1).

--- a/hall/entry/entry.go
+++ b/hall/entry/entry.go
@@ -15,7 +15,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -40,7 +39,7 @@
 	programHeader   = "Limpethall-Program"
 	outcomeHeader   = "Limpethall-Outcome"
 	keyHeader       = "Idempotency-Key"
-	bearer          = "Bearer "
+	bearer          = "Bearer"
 )
 
 // Options are the settings of an entry.
@@ -152,11 +151,11 @@
 // refusals look the same, so that nothing is learned from them.
 func (e *Entry) authenticate(c *app.RequestContext, r request) (request, error) {
 	refused := failure.New(failure.CodeUnauthorized, failure.NotRun, "send a valid key as Authorization: Bearer KEY")
-	text, found := strings.CutPrefix(string(c.GetHeader("Authorization")), bearer)
+	text, found := key.FromHeader(string(c.GetHeader("Authorization")), bearer)
 	if !found {
 		return r, refused
 	}
-	id, secret, formed := key.Split(strings.TrimSpace(text))
+	id, secret, formed := key.Split(text)
 	if !formed {
 		return r, refused
 	}
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -289,7 +289,7 @@
 		if entry.expires.Before(until) {
 			value, err := l.archive.Read(turnPrefix+id, entry.expires)
 			if err != nil {
-				l.logger.Error("value turn can't be read", zap.String("turn", id), zap.Error(err))
+				l.logger.Error("stored turn can't be read", zap.String("turn", id), zap.Error(err))
 				break
 			}
 			entry.expires = until.Add(until.Sub(now) * spareRetention)
--- a/kernel/key/key.go
+++ b/kernel/key/key.go
@@ -99,3 +99,13 @@
 	}
 	return hex.EncodeToString(raw), nil
 }
+
+// FromHeader returns the key of an Authorization header with the given scheme,
+// whose name is matched without regard to case (RFC 9110, 11.1).
+func FromHeader(value, scheme string) (text string, found bool) {
+	name, rest, spaced := strings.Cut(value, " ")
+	if !spaced || !strings.EqualFold(name, scheme) {
+		return "", false
+	}
+	return strings.TrimSpace(rest), true
+}
