--- a/hallctl/operator/status.go
+++ b/hallctl/operator/status.go
@@ -1,14 +1,8 @@
 package operator
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"os"
-	"slices"
-	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -185,54 +179,3 @@
 	return t.print(result, "program %s\nworkspace %s\nhome %s\nturns %d\nspent %d of %d tokens\nended %v\n",
 		id, result.Workspace, result.Home, result.Turn, result.Spent, result.Budget, result.Ended)
 }
-
-// decisionFields are the fields of a log line by which a decision is found.
-var decisionFields = []string{"request", "program", "call"}
-
-// Explain prints the decisions that log files hold for a request, a program or
-// a call, in the order in which they were taken.
-func Explain(id string, files []string, output io.Writer, asJSON bool) error {
-	t := &Tool{output: output, asJSON: asJSON}
-	var found []map[string]any
-	for _, path := range files {
-		lines, err := decisions(path, id)
-		if err != nil {
-			return err
-		}
-		found = append(found, lines...)
-	}
-	slices.SortStableFunc(found, func(a, b map[string]any) int {
-		return strings.Compare(fmt.Sprint(a["time"]), fmt.Sprint(b["time"]))
-	})
-	if t.asJSON {
-		return t.printJSON(found)
-	}
-	for _, line := range found {
-		_, _ = fmt.Fprintf(t.output, "%v  %-8v  %-22v  server %v  %v  %v\n", line["time"], line["logger"], line["msg"], line["server"], line["reason"], line["scores"])
-	}
-	if len(found) == 0 {
-		return fmt.Errorf("no decision for %s in %d files: name the JSON logs of all halls", id, len(files))
-	}
-	return nil
-}
-
-func decisions(path, id string) ([]map[string]any, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = file.Close() }()
-	var found []map[string]any
-	lines := bufio.NewScanner(file)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
-		var line map[string]any
-		if json.Unmarshal(lines.Bytes(), &line) != nil {
-			continue
-		}
-		if slices.ContainsFunc(decisionFields, func(field string) bool { return line[field] == id }) {
-			found = append(found, line)
-		}
-	}
-	return found, lines.Err()
-}
