--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -24,6 +24,7 @@
 	"limpethall.dev/kernel/duty"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/keeping"
+	"limpethall.dev/kernel/metrics"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/wire"
@@ -65,7 +66,9 @@
 	Tolerance int
 	Network   network.Network
 	Store     platform.Store
-	Logger    *zap.Logger
+	// Meters is where the keeper counts; they are served beside its calls.
+	Meters *metrics.Meters
+	Logger *zap.Logger
 }
 
 // Keeper is the running process.
@@ -75,6 +78,7 @@
 	rule      keeping.Rule
 	archive   *archive.Archive
 	ledger    *ledger.Ledger
+	meters    *meters
 	members   *keeping.Members
 	registrar *host.Registrar
 	duties    *duty.Group
@@ -95,14 +99,21 @@
 	if err != nil {
 		return nil, errors.Join(oops.In("keeper").Wrapf(err, "read %s", options.Folder), kept.Close())
 	}
+	observed, err := newMeters(options.Meters.Meter(), book)
+	if err != nil {
+		return nil, errors.Join(err, kept.Close())
+	}
 	transport := &http.Transport{DialContext: options.Network.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	k := &Keeper{
 		options: options, logger: options.Logger, rule: keeping.New(options.Tolerance),
-		archive: kept, ledger: book, members: keeping.NewMembers(options.Store, options.Logger),
+		archive: kept, ledger: book, meters: observed, members: keeping.NewMembers(options.Store, options.Logger),
 		transport: transport, client: &http.Client{Transport: transport}, leaving: make(chan struct{}),
 	}
 	k.registrar = host.NewRegistrar(options.Store, keeping.LivePrefix+options.Name, []byte(options.Address), liveLease, options.Logger)
-	k.server = &http.Server{Handler: wire.NewKeeperServer(k), ReadHeaderTimeout: headerTimeout}
+	mux := http.NewServeMux()
+	mux.Handle("/", wire.NewKeeperServer(k))
+	mux.Handle("/metrics", options.Meters.Handler())
+	k.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return k, nil
 }
 
@@ -146,7 +157,14 @@
 // Begin implements wire.Keeper. A hall that chose its keepers by an older list
 // gets the present one instead of a reservation, so that any two quorums in use
 // meet.
-func (k *Keeper) Begin(_ context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
+func (k *Keeper) Begin(ctx context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
+	started := time.Now()
+	reply, err := k.begin(request)
+	k.meters.record(ctx, "begin", reply.GetVerdict().String(), started, err)
+	return reply, err
+}
+
+func (k *Keeper) begin(request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
 	list := k.members.List()
 	if used := request.GetKeepers(); used.GetDigest() != list.Digest() && used.GetStoreRevision() < list.Revision() {
 		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_STALE_LIST, Keepers: list.Wire(true)}, nil
@@ -155,13 +173,19 @@
 }
 
 // Finish implements wire.Keeper.
-func (k *Keeper) Finish(_ context.Context, request *wire.FinishTurnRequest) (*wire.FinishTurnReply, error) {
-	return &wire.FinishTurnReply{}, k.ledger.Finish(time.Now(), request)
+func (k *Keeper) Finish(ctx context.Context, request *wire.FinishTurnRequest) (*wire.FinishTurnReply, error) {
+	started := time.Now()
+	err := k.ledger.Finish(started, request)
+	k.meters.record(ctx, "finish", "stored", started, err)
+	return &wire.FinishTurnReply{}, err
 }
 
 // Find implements wire.Keeper.
-func (k *Keeper) Find(_ context.Context, request *wire.FindTurnRequest) (*wire.FindTurnReply, error) {
-	return k.ledger.Find(request.GetTurn(), request.GetWorkspace())
+func (k *Keeper) Find(ctx context.Context, request *wire.FindTurnRequest) (*wire.FindTurnReply, error) {
+	started := time.Now()
+	reply, err := k.ledger.Find(request.GetTurn(), request.GetWorkspace())
+	k.meters.record(ctx, "find", reply.GetVerdict().String(), started, err)
+	return reply, err
 }
 
 // Copy implements wire.Keeper. The list of the asking keeper is taken over if it
