Let many halls share a cold backend server

Cause, found by reading: a hall sends a cold server its part of what that bears in a second. With more halls than that many requests, every part is below one, and a cold server gets nothing; with all servers cold, everything is refused. The sites at hand have four and five halls; the target has hundreds.

Change: where the part is below one a second, a hall sends at intervals that begin at random.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -17,6 +17,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -94,6 +95,7 @@
 	ownThen     int // Outstanding when the report came.
 	failedAt    time.Time
 	coldSends   []time.Time
+	coldNext    time.Time // With a part under one a second: when the next may go.
 }
 
 // Balancer is safe for concurrent use.
@@ -171,7 +173,7 @@
 	}
 	best.state.outstanding++
 	if best.server.Cold(now) {
-		best.state.coldSends = append(best.state.coldSends, now)
+		best.state.sendCold(now, query.Service, b.halls())
 	}
 	return &best, nil
 }
@@ -279,8 +281,15 @@
 }
 
 // bears reports whether a cold server may be given one more request by this
-// hall.
+// hall. Where halls are so many that each may send less than one a second, they send
+// at intervals that begin at random, so that they don't send together.
 func (s *state) bears(now time.Time, service *catalog.Service, halls int) bool {
+	if interval := coldInterval(service, halls); interval > coldSpan {
+		if now.Sub(s.coldNext) > interval {
+			s.coldNext = now.Add(rand.N(interval))
+		}
+		return !now.Before(s.coldNext)
+	}
 	first := 0
 	for first < len(s.coldSends) && now.Sub(s.coldSends[first]) > coldSpan {
 		first++
@@ -292,6 +301,21 @@
 	return float64(len(s.coldSends)+1) <= service.ColdRate/float64(max(1, halls))
 }
 
+// sendCold takes in that a cold server is given a request.
+func (s *state) sendCold(now time.Time, service *catalog.Service, halls int) {
+	s.coldSends = append(s.coldSends, now)
+	s.coldNext = now.Add(coldInterval(service, halls))
+}
+
+// coldInterval returns the time between two requests of one hall to a cold server,
+// zero if any rate is borne.
+func coldInterval(service *catalog.Service, halls int) time.Duration {
+	if service.ColdRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(max(1, halls)) / service.ColdRate * float64(time.Second))
+}
+
 // forget drops what is known of servers that are gone.
 func (b *Balancer) forget(list *backend.List) {
 	b.mutex.Lock()
--- a/hall/balance/balance_test.go
+++ b/hall/balance/balance_test.go
@@ -99,6 +99,50 @@
 	}
 }
 
+// TestManyHallsShareAColdServer has more halls than a cold server bears requests in
+// a second. It must be used, and within what it bears.
+func TestManyHallsShareAColdServer(t *testing.T) {
+	const (
+		halls  = 60
+		span   = 6 * time.Second
+		pause  = 10 * time.Millisecond
+		most   = 20*1.5 + 5 // What a cold server of this rate is stated to bear in a second.
+		wanted = 0.5        // Part of the rate that must be used.
+	)
+	began := time.Now()
+	var members []*balance.Balancer
+	for range halls {
+		directory := backend.NewDirectory()
+		publish(directory, backend.Options{ID: "cold", Zone: "a", ColdUntil: began.Add(time.Minute)})
+		members = append(members, balance.New("a", directory, func() int { return halls }))
+	}
+	var sends []time.Time
+	for now := began; now.Before(began.Add(span)); now = now.Add(pause) {
+		for _, member := range members {
+			choice, err := member.Choose(now, balance.Query{Service: models})
+			if err != nil {
+				continue
+			}
+			choice.Done()
+			sends = append(sends, now)
+		}
+	}
+	for first, from := range sends {
+		within := 0
+		for _, at := range sends[first:] {
+			if at.Sub(from) < time.Second {
+				within++
+			}
+		}
+		if within > most {
+			t.Fatalf("requests in a second: got %d, want at most %.0f", within, most)
+		}
+	}
+	if got, want := float64(len(sends)), wanted*models.ColdRate*span.Seconds(); got < want {
+		t.Errorf("requests in %s: got %.0f, want at least %.0f", span, got, want)
+	}
+}
+
 // TestFailedServerComesLast wants a server that failed to be passed over for a
 // while and then used again.
 func TestFailedServerComesLast(t *testing.T) {
