--- a/hall/allowance/keeper.go
+++ b/hall/allowance/keeper.go
@@ -185,8 +185,8 @@
 	if k.confirmed.Load() != 0 || len(listing.Entries) == 0 {
 		return errors.New("no share to inherit")
 	}
-	var shares limit.Shares
-	if err := json.Unmarshal(listing.Entries[0].Value, &shares); err != nil {
+	shares, err := decodeShares(listing.Entries[0])
+	if err != nil {
 		return err
 	}
 	holders, err := k.store.List(ctx, holdersPrefix)
@@ -218,8 +218,8 @@
 
 // take installs this hall's parts as the table has them.
 func (k *Keeper) take(ctx context.Context, entry platform.Entry) error {
-	var shares limit.Shares
-	if err := json.Unmarshal(entry.Value, &shares); err != nil {
+	shares, err := decodeShares(entry)
+	if err != nil {
 		return err
 	}
 	k.shares = shares
@@ -344,11 +344,16 @@
 	if err != nil {
 		return limit.Shares{}, 0, err
 	}
-	var shares limit.Shares
-	err = json.Unmarshal(entry.Value, &shares)
+	shares, err := decodeShares(entry)
 	return shares, entry.Version, err
 }
 
+func decodeShares(entry platform.Entry) (limit.Shares, error) {
+	var shares limit.Shares
+	err := json.Unmarshal(entry.Value, &shares)
+	return shares, err
+}
+
 func (k *Keeper) save(ctx context.Context, shares limit.Shares, version uint64) error {
 	value, err := json.Marshal(shares)
 	if err != nil {
--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -84,9 +84,6 @@
 	return fmt.Sprintf("no server of %s may be given work: %d usable, %d of them cold and at their limit", e.service, e.known, e.cold)
 }
 
-// Known returns how many servers of the service could be used at all.
-func (e *NoServerError) Known() int { return e.known }
-
 // state is what this hall knows of one server's load.
 type state struct {
 	outstanding int
