--- a/hall/entry/completion.go
+++ b/hall/entry/completion.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.Limiter.Admit(ctx, r.workspace, ratelimit.RunningProgram); err != nil {
+	if _, err := s.Limiter.Admit(ctx, r.workspace, ratelimit.RunningProgram); err != nil {
 		return err
 	}
 	turn := &wire.TurnRequest{RequestId: r.id, Workspace: r.workspace, Model: call, Idempotent: true, Stream: body.Stream}
@@ -37,7 +37,7 @@
 	if body.Ticket == "" {
 		return badRequest("ticket is missing: send the ticket from the last response of this program")
 	}
-	if err := s.Limiter.Admit(ctx, r.workspace, ratelimit.RunningProgram); err != nil {
+	if _, err := s.Limiter.Admit(ctx, r.workspace, ratelimit.RunningProgram); err != nil {
 		return err
 	}
 	programID := c.Param("program")
--- a/hall/entry/service.go
+++ b/hall/entry/service.go
@@ -42,7 +42,7 @@
 		if !found {
 			return failure.New(failure.CodeNotFound, failure.NotRun, "no service %q", name)
 		}
-		if err := s.Limiter.Admit(ctx, r.workspace, ratelimit.RunningProgram); err != nil {
+		if _, err := s.Limiter.Admit(ctx, r.workspace, ratelimit.RunningProgram); err != nil {
 			return err
 		}
 		return s.runService(ctx, c, r, name, path, route)
--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -46,7 +46,9 @@
 		}
 		h.lastChoice = choice
 		h.sends++
+		sentAt := time.Now()
 		response, err := h.gateway.options.Backend.Send(ctx, choice.Server(), h.newBackendRequest(resumeAfter))
+		h.sendDuration += time.Since(sentAt)
 		if err == nil && !response.NotRun {
 			h.reportLoad(choice, response)
 			return &serverResponse{Response: response, choice: choice}, nil
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -53,7 +53,7 @@
 type Admitter interface {
 	// Admit takes a token from the workspace's rate limit. It returns a
 	// *failure.Error if the limit is exceeded.
-	Admit(ctx context.Context, workspace string, priority ratelimit.Priority) error
+	Admit(ctx context.Context, workspace string, priority ratelimit.Priority) (ratelimit.Admission, error)
 	// Refund gives back the token of a request that was sent to no backend server.
 	Refund(workspace string)
 }
@@ -144,6 +144,7 @@
 	affinityKey string // Same for requests that share a history; empty for none.
 	deadline    time.Time
 
+	admission      ratelimit.Admission
 	admitted       bool // Whether the request holds a token of its workspace's rate limit.
 	tried          map[string]bool
 	lastChoice     *balance.Choice
@@ -153,6 +154,7 @@
 	refusal        *Refusal
 	abortErr       error
 	beginDuration  time.Duration // Time spent in TurnStore.Begin.
+	sendDuration   time.Duration // Time from sends to backend servers to their response headers.
 	firstByteDelay time.Duration // Time until the response header was written.
 }
 
@@ -198,7 +200,8 @@
 	if h.workspace == nil || h.workspace.Rate <= 0 {
 		return nil
 	}
-	err := h.gateway.options.Admitter.Admit(ctx, h.workspace.Name, h.priority())
+	var err error
+	h.admission, err = h.gateway.options.Admitter.Admit(ctx, h.workspace.Name, h.priority())
 	var rateErr *failure.Error
 	switch {
 	case err == nil:
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -110,7 +110,9 @@
 }
 
 // Admit implements gateway.Admitter.
-func (a *fakeAdmitter) Admit(context.Context, string, ratelimit.Priority) error { return a.err }
+func (a *fakeAdmitter) Admit(context.Context, string, ratelimit.Priority) (ratelimit.Admission, error) {
+	return ratelimit.Admission{}, a.err
+}
 
 // Refund implements gateway.Admitter.
 func (a *fakeAdmitter) Refund(string) { a.refunds++ }
--- a/hall/gateway/metrics.go
+++ b/hall/gateway/metrics.go
@@ -16,6 +16,7 @@
 	sends           metric.Int64Counter
 	requestDuration metric.Float64Histogram
 	beginDuration   metric.Float64Histogram
+	tokenDuration   metric.Float64Histogram
 }
 
 // NewMeters creates the instruments of a gateway.
@@ -35,6 +36,9 @@
 	if m.beginDuration, err = meter.Float64Histogram("limpethall.gateway.begin.duration", metric.WithUnit("s"), buckets, metric.WithDescription("Time that the keepers took to begin a turn.")); err != nil {
 		return nil, err
 	}
+	if m.tokenDuration, err = meter.Float64Histogram("limpethall.gateway.token.duration", metric.WithUnit("s"), buckets, metric.WithDescription("Time to get a token of the workspace's rate limit, or to be refused one.")); err != nil {
+		return nil, err
+	}
 	return m, nil
 }
 
@@ -43,6 +47,7 @@
 	elapsed := time.Since(h.request.Received)
 	fields := []zap.Field{
 		zap.String("requestId", h.request.ID), zap.Duration("took", elapsed), zap.Duration("first", h.firstByteDelay), zap.Duration("keepers", h.beginDuration),
+		zap.Duration("token", h.admission.Took()), zap.Int("loanCalls", h.admission.Calls()), zap.Duration("backend", h.sendDuration),
 		zap.Int("sends", h.sends), zap.Int("runs", h.possibleRuns),
 	}
 	kind, status := "none", h.status
@@ -88,6 +93,9 @@
 	meters.requests.Add(ctx, 1, attributes)
 	meters.sends.Add(ctx, int64(h.sends))
 	meters.requestDuration.Record(ctx, elapsed.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+	if h.workspace != nil {
+		meters.tokenDuration.Record(ctx, h.admission.Took().Seconds())
+	}
 	if h.beginDuration > 0 {
 		meters.beginDuration.Record(ctx, h.beginDuration.Seconds())
 	}
--- a/hall/ratelimit/limiter.go
+++ b/hall/ratelimit/limiter.go
@@ -10,7 +10,8 @@
 // # Usage
 //
 //	l := ratelimit.New(peers, manager.ShareValid, 0, time.Now)
-//	if err := l.Admit(ctx, "kovacs-counter", ratelimit.RunningProgram); err != nil { refuse }
+//	admission, err := l.Admit(ctx, "kovacs-counter", ratelimit.RunningProgram)
+//	if err != nil { refuse }
 package ratelimit
 
 import (
@@ -60,10 +61,23 @@
 // Borrower borrows tokens from other halls.
 type Borrower interface {
 	// Borrow requests up to wanted tokens in total from the other halls, adds
-	// what they grant to the bucket, and returns the granted amount.
-	Borrow(ctx context.Context, workspace string, wanted float64, bucket *limit.Bucket) float64
+	// what they grant to the bucket, and returns the granted amount and the number
+	// of calls to other halls.
+	Borrow(ctx context.Context, workspace string, wanted float64, bucket *limit.Bucket) (granted float64, calls int)
 }
 
+// Admission tells how long the decision about a request took and what it cost.
+type Admission struct {
+	took  time.Duration
+	calls int
+}
+
+// Took returns the time from the request for a token to the decision.
+func (a Admission) Took() time.Duration { return a.took }
+
+// Calls returns how many calls to other halls the request made for its token.
+func (a Admission) Calls() int { return a.calls }
+
 // Limiter holds the token buckets of all workspaces at one hall.
 type Limiter struct {
 	borrower   Borrower
@@ -136,12 +150,19 @@
 // Admit takes one token of the workspace. Requests of running programs wait up to
 // maxWait for one. A workspace over its limit gets a rateLimited failure with a
 // retry hint.
-func (l *Limiter) Admit(ctx context.Context, workspace string, priority Priority) error {
+func (l *Limiter) Admit(ctx context.Context, workspace string, priority Priority) (Admission, error) {
+	start := l.now()
+	admission := Admission{}
+	err := l.admit(ctx, workspace, priority, start, &admission)
+	admission.took = l.now().Sub(start)
+	return admission, err
+}
+
+func (l *Limiter) admit(ctx context.Context, workspace string, priority Priority, now time.Time, admission *Admission) error {
 	state, found := l.lookup(workspace)
 	if !found {
 		return failure.New(failure.CodeForbidden, failure.NotRun, "workspace %q has no row in the table", workspace)
 	}
-	now := l.now()
 	if !l.shareValid(now) {
 		return failure.New(failure.CodeConfigurationUnknown, failure.NotRun, "this hall cannot confirm its share of the rate limit; retry at another hall").WithRetryAfter(time.Second)
 	}
@@ -153,16 +174,16 @@
 		return nil
 	}
 	if priority == NewProgram {
-		return l.admitFirstTurn(ctx, workspace, state)
+		return l.admitFirstTurn(ctx, workspace, state, admission)
 	}
-	return l.waitForToken(ctx, workspace, state, now.Add(maxWait))
+	return l.waitForToken(ctx, workspace, state, now.Add(maxWait), admission)
 }
 
 // admitFirstTurn borrows once and rejects the request if that yields no token.
 // It does not compete with requests of running programs that are waiting.
-func (l *Limiter) admitFirstTurn(ctx context.Context, workspace string, state *workspaceState) error {
+func (l *Limiter) admitFirstTurn(ctx context.Context, workspace string, state *workspaceState, admission *Admission) error {
 	if state.waiting.Load() == 0 {
-		l.borrow(ctx, workspace, state, 1)
+		l.borrow(ctx, workspace, state, 1, admission)
 		if now := l.now(); l.shareValid(now) && state.waiting.Load() == 0 && state.bucket.RetryTake(now) {
 			return nil
 		}
@@ -205,14 +226,14 @@
 // waitForToken retries until a token is available or the deadline leaves no
 // time for another attempt. It rejects the request at once if the requests ahead
 // of it need longer than maxWait even at the workspace's full rate.
-func (l *Limiter) waitForToken(ctx context.Context, workspace string, state *workspaceState, deadline time.Time) error {
+func (l *Limiter) waitForToken(ctx context.Context, workspace string, state *workspaceState, deadline time.Time, admission *Admission) error {
 	position := state.waiting.Add(1)
 	defer state.waiting.Add(-1)
 	if state.bucket.MinQueueDelay(position) > maxWait {
 		return rateLimitError(workspace, state, l.now())
 	}
 	for {
-		l.borrow(ctx, workspace, state, state.waiting.Load())
+		l.borrow(ctx, workspace, state, state.waiting.Load(), admission)
 		now := l.now()
 		if !l.shareValid(now) {
 			return failure.New(failure.CodeConfigurationUnknown, failure.NotRun, "this hall cannot confirm its share of the rate limit; retry at another hall")
@@ -234,7 +255,7 @@
 // borrow requests tokens from other halls for the given number of requests. Only
 // one request of a workspace borrows at a time, because the tokens that it
 // brings also serve the other waiting requests.
-func (l *Limiter) borrow(ctx context.Context, workspace string, state *workspaceState, requests int64) {
+func (l *Limiter) borrow(ctx context.Context, workspace string, state *workspaceState, requests int64, admission *Admission) {
 	select {
 	case state.borrowing <- struct{}{}:
 		defer func() { <-state.borrowing }()
@@ -246,7 +267,9 @@
 	if wanted <= 0 || now.UnixNano() < state.noBorrowUntilNs.Load() {
 		return
 	}
-	if l.borrower.Borrow(ctx, workspace, wanted, state.bucket) < wanted/2 {
+	granted, calls := l.borrower.Borrow(ctx, workspace, wanted, state.bucket)
+	admission.calls += calls
+	if granted < wanted/2 {
 		state.noBorrowUntilNs.Store(l.now().Add(borrowBackoff).UnixNano())
 	}
 }
--- a/hall/ratelimit/limiter_test.go
+++ b/hall/ratelimit/limiter_test.go
@@ -29,8 +29,7 @@
 // Borrow implements ratelimit.Borrower. The first round requests an equal amount
 // from each hall, the second requests the rest from those that granted theirs in
 // full.
-func (p *fakePeers) Borrow(ctx context.Context, name string, wanted float64, bucket *limit.Bucket) float64 {
-	total := 0.0
+func (p *fakePeers) Borrow(ctx context.Context, name string, wanted float64, bucket *limit.Bucket) (total float64, calls int) {
 	exhausted := make([]bool, len(p.halls))
 	exhausted[p.ownIndex] = true
 	for range 2 {
@@ -51,6 +50,7 @@
 			if exhausted[index] {
 				continue
 			}
+			calls++
 			loan := hall.Lend(name, missing/float64(candidates), bucket.DrainSettled(string(rune('a'+index))))
 			exhausted[index] = loan.Amount() < missing/float64(candidates)
 			loans = append(loans, loan)
@@ -61,7 +61,7 @@
 			bucket.Accept(sentAt, time.Now(), string(rune('a'+index)), loan)
 		}
 	}
-	return total
+	return total, calls
 }
 
 // newHalls returns halls that hold equal shares of one workspace's limit. Their
@@ -100,7 +100,7 @@
 			time.Sleep(time.Duration(random.ExpFloat64() / (rate * overload) * float64(time.Second)))
 			hall := pickWeighted(random, weights)
 			go func() {
-				if halls[hall].Admit(t.Context(), workspace, ratelimit.RunningProgram) == nil {
+				if _, err := halls[hall].Admit(t.Context(), workspace, ratelimit.RunningProgram); err == nil {
 					admitted.Add(1)
 				}
 			}()
@@ -135,13 +135,13 @@
 			time.Sleep(time.Duration(random.ExpFloat64() / (rate * overload / calls) * float64(time.Second)))
 			hall := halls[pickWeighted(random, []float64{0.35, 0.25, 0.2, 0.1, 0.1})]
 			go func() {
-				if hall.Admit(t.Context(), workspace, ratelimit.NewProgram) != nil {
+				if _, err := hall.Admit(t.Context(), workspace, ratelimit.NewProgram); err != nil {
 					return
 				}
 				started.Add(1)
 				for range calls - 1 {
 					time.Sleep(callInterval)
-					if hall.Admit(t.Context(), workspace, ratelimit.RunningProgram) != nil {
+					if _, err := hall.Admit(t.Context(), workspace, ratelimit.RunningProgram); err != nil {
 						failed.Add(1)
 						return
 					}
--- a/hall/ratelimit/peers.go
+++ b/hall/ratelimit/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"limpethall.dev/kernel/host"
@@ -24,6 +25,9 @@
 	roster  *host.Watcher
 	client  func(address string) Lender
 	now     func() time.Time
+	granted atomic.Int64
+	refused atomic.Int64
+	failed  atomic.Int64
 }
 
 // Lender is the RPC interface of a hall that grants loans.
@@ -37,20 +41,26 @@
 	return &Peers{ownName: ownName, roster: roster, client: client, now: now}
 }
 
+// Calls returns the number of calls for loans by outcome: granted in full or in
+// part, refused, or failed.
+func (p *Peers) Calls() map[string]int64 {
+	return map[string]int64{"granted": p.granted.Load(), "refused": p.refused.Load(), "failed": p.failed.Load()}
+}
+
 // Borrow implements Borrower. It requests an equal amount from each hall in the
 // first round. In further rounds it requests the missing amount from the halls
 // that granted their part in full.
-func (p *Peers) Borrow(ctx context.Context, workspace string, wanted float64, bucket *limit.Bucket) float64 {
+func (p *Peers) Borrow(ctx context.Context, workspace string, wanted float64, bucket *limit.Bucket) (total float64, calls int) {
 	var halls []host.Member
 	for _, hall := range p.roster.Roster().Halls() {
 		if hall.Name() != p.ownName {
 			halls = append(halls, hall)
 		}
 	}
-	total := 0.0
 	for len(halls) > 0 && wanted-total > 0 {
 		part := (wanted - total) / float64(len(halls))
 		granted := p.requestLoans(ctx, halls, workspace, part, bucket)
+		calls += len(halls)
 		var fullGrants []host.Member
 		for index, amount := range granted {
 			total += amount
@@ -63,7 +73,7 @@
 		}
 		halls = fullGrants
 	}
-	return total
+	return total, calls
 }
 
 // requestLoans requests the same amount from each hall in parallel and returns
@@ -80,11 +90,17 @@
 				Hall: p.ownName, Workspace: workspace, Millitokens: int64(amount*millitokensPerToken) + 1, SettledLoans: bucket.DrainSettled(hall.Name()),
 			})
 			if err != nil {
+				p.failed.Add(1)
 				return
 			}
 			loan := limit.NewLoan(reply.GetLoanId(), float64(reply.GetMillitokens())/millitokensPerToken, time.Duration(reply.GetValidMilliseconds())*time.Millisecond)
 			bucket.Accept(sentAt, p.now(), hall.Name(), loan)
 			granted[index] = loan.Amount()
+			if loan.Amount() > 0 {
+				p.granted.Add(1)
+			} else {
+				p.refused.Add(1)
+			}
 		})
 	}
 	calls.Wait()
