--- a/kernel/limit/bucket.go
+++ b/kernel/limit/bucket.go
@@ -215,17 +215,17 @@
 	return time.Duration(float64(n-1) / b.rate * float64(time.Second))
 }
 
-// BorrowAmount returns how many tokens to borrow for n waiting requests, plus the
-// demand beyond this hall's own refill that is expected during half the lifetime
-// of a loan. It does not look further ahead, because borrowed tokens that expire
-// unspent are lost to all halls.
+// BorrowAmount returns how many tokens to borrow for n waiting requests, plus those of
+// the requests beyond this hall's own refill that are expected during half the
+// lifetime of a loan. It does not look further ahead, and leaves out the fraction of
+// a request, because borrowed tokens that expire unspent are lost to all halls.
 func (b *Bucket) BorrowAmount(now time.Time, n int) float64 {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.refill(now)
 	b.decayDemand(now)
 	expected := max(0, b.demand-b.rate*b.share) * LoanLifetime.Seconds() / 2
-	return float64(n) + expected - b.tokens - totalAmount(b.borrowed)
+	return float64(n) + math.Floor(expected) - b.tokens - totalAmount(b.borrowed)
 }
 
 // DrainSettled returns the IDs of a lender's loans that were spent since the last
