--- a/hall/ratelimit/share_manager.go
+++ b/hall/ratelimit/share_manager.go
@@ -99,8 +99,9 @@
 }
 
 // NewShareManager returns a ShareManager of the hall. storeOutage reports whether no host
-// reaches the store. During such an outage no hall can take over a share, so
-// shares remain valid beyond LeaseDuration.
+// reaches the store, or this hall would learn of changes from one that does. Shares
+// then remain valid beyond LeaseDuration: no hall can take over a share, or this hall
+// stops spending it when another one has.
 func NewShareManager(store platform.Store, hall string, incarnation uint64, storeOutage func(now time.Time) bool, logger *zap.Logger) *ShareManager {
 	value := []byte(strconv.FormatUint(incarnation, 10))
 	m := &ShareManager{
--- a/kernel/relay/relay.go
+++ b/kernel/relay/relay.go
@@ -23,6 +23,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,6 +68,8 @@
 	now    func() time.Time
 	logger *zap.Logger
 
+	lastPeerAnswerNs atomic.Int64 // Unix time in nanoseconds.
+
 	mutex    sync.Mutex
 	prefixes map[string]*prefixState
 	listed   map[string]bool // Prefixes that have been listed, successfully or not.
@@ -102,6 +105,13 @@
 // Close closes idle connections.
 func (s *Store) Close() { s.client.CloseIdleConnections() }
 
+// HeardPeerWithin reports whether another host has answered within a time. While the
+// service does not answer, other hosts are asked at least once a second, and this host
+// takes over what they know from the service.
+func (s *Store) HeardPeerWithin(period time.Duration) bool {
+	return s.now().Sub(time.Unix(0, s.lastPeerAnswerNs.Load())) < period
+}
+
 // List implements platform.Store.
 func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
 	if len(s.peers) == 0 {
@@ -284,6 +294,7 @@
 		s.logger.Info("failed to read state from another host", zap.String("prefix", prefix), zap.String("host", source.address), zap.Error(err))
 		return platform.Listing{}, false
 	}
+	s.lastPeerAnswerNs.Store(s.now().UnixNano())
 	return listingFromReply(reply), reply.GetKnown()
 }
 
