--- a/hall/ratelimit/share_manager.go
+++ b/hall/ratelimit/share_manager.go
@@ -442,7 +442,7 @@
 // share stays low until a later write of this hall has changed the version.
 func (m *ShareManager) transferSurplus(ctx context.Context, now time.Time) error {
 	own, found := m.shares.Lookup(m.hall)
-	if !found || own.Slices() != m.limiter.Slices() {
+	if !found || own.Slices() != m.limiter.Slices() || !m.shares.HasSurplus(m.hall, len(m.live)) {
 		return nil
 	}
 	next, kept := m.shares.Rebalance(m.hall, m.liveHolders())
--- a/kernel/limit/shares.go
+++ b/kernel/limit/shares.go
@@ -138,21 +138,26 @@
 	return next
 }
 
-// Rebalance returns a table in which a hall that holds clearly more than an equal
-// part of the slices has given the surplus to the live halls that hold less, all
-// in one step. It returns the slices that the hall keeps. The tolerance avoids
-// transfers with every hall that joins.
+// HasSurplus reports whether a hall holds clearly more than an equal part of the slices
+// among a number of live halls. The tolerance avoids transfers with every hall that
+// joins.
+func (s Shares) HasSurplus(hall string, live int) bool {
+	own, _ := s.Lookup(hall)
+	equal := SliceCount / max(1, live)
+	return live > 0 && own.slices.Len() > max(1, equal+equal/4+1)
+}
+
+// Rebalance returns a table in which a hall with a surplus has given it to the live
+// halls that hold less than an equal part, all in one step. It returns the slices that
+// the hall keeps.
 func (s Shares) Rebalance(hall string, live []Holder) (next Shares, kept SliceSet) {
-	own, found := s.Lookup(hall)
-	if !found || len(live) == 0 {
+	own, _ := s.Lookup(hall)
+	if !s.HasSurplus(hall, len(live)) {
 		return s.clone(), own.slices
 	}
-	target := max(1, SliceCount/len(live))
+	equal := max(1, SliceCount/len(live))
 	limit := (SliceCount + len(live) - 1) / len(live)
-	if own.slices.Len() <= target+target/4+1 {
-		return s.clone(), own.slices
-	}
-	next = s.deal(hall, own.slices, own.slices.Len()-target, live, limit)
+	next = s.deal(hall, own.slices, own.slices.Len()-equal, live, limit)
 	remaining, _ := next.Lookup(hall)
 	return next, remaining.slices
 }
