--- a/hall/ratelimit/cold_start_test.go
+++ b/hall/ratelimit/cold_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/hall/ratelimit"
+	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/platform/memory"
 	"limpethall.dev/kernel/table"
@@ -24,6 +26,7 @@
 	limiters  []*ratelimit.Limiter
 	managers  []*ratelimit.ShareManager
 	loanCalls atomic.Int64
+	cut       atomic.Bool // Whether halls do not reach each other.
 }
 
 // directLender calls a hall's limiter with the latency of a network.
@@ -36,8 +39,8 @@
 func (l directLender) Lend(ctx context.Context, request *wire.LendRequest) (*wire.LendReply, error) {
 	l.cluster.loanCalls.Add(1)
 	task.Sleep(ctx, messageDelay)
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
+	if ctx.Err() != nil || l.cluster.cut.Load() {
+		return nil, errors.New("hall not reached")
 	}
 	reply := l.limiter.Lend(request)
 	task.Sleep(ctx, messageDelay)
@@ -128,3 +131,35 @@
 		})
 	}
 }
+
+// TestUnreachableHoldersAreNotAnExceededLimit cuts all halls from each other. It guards
+// against callers that are told that their workspace exceeded its limit when the hall
+// only can't reach those that hold it.
+func TestUnreachableHoldersAreNotAnExceededLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		c := newRateCluster(ctx, 26, []table.Row{table.NewRow(workspace, 1, 20, 40, 0, nil)})
+		time.Sleep(5 * time.Second)
+		c.cut.Store(true)
+		served := 0
+		for index, limiter := range c.limiters {
+			for _, priority := range []ratelimit.Priority{ratelimit.NewProgram, ratelimit.RunningProgram} {
+				admission, err := limiter.Admit(ctx, workspace, priority)
+				var rejected *failure.Error
+				switch {
+				case err == nil:
+					served++
+				case !errors.As(err, &rejected) || rejected.Code() != failure.CodeConfigurationUnknown:
+					t.Errorf("hall %d: got %v, want code %v", index, err, failure.CodeConfigurationUnknown)
+				case admission.Took() > 100*time.Millisecond:
+					t.Errorf("hall %d: rejected after %s, want at most 100ms", index, admission.Took())
+				}
+			}
+		}
+		if got, want := served, 4*2; got != want {
+			t.Errorf("requests served by the halls that hold the limit: got %d, want %d", got, want)
+		}
+	})
+}
--- a/hall/ratelimit/limiter.go
+++ b/hall/ratelimit/limiter.go
@@ -68,12 +68,14 @@
 type Borrowing struct {
 	calls      int
 	retryAfter time.Duration
+	noAnswer   bool
 }
 
 // NewBorrowing returns the result of an attempt that took a number of calls to other
-// halls. retryAfter is when to try again, zero if the attempt succeeded.
-func NewBorrowing(calls int, retryAfter time.Duration) Borrowing {
-	return Borrowing{calls: calls, retryAfter: retryAfter}
+// halls. retryAfter is when to try again, zero if the attempt succeeded. noAnswer tells
+// that no hall that holds the workspace's limits is known to answer.
+func NewBorrowing(calls int, retryAfter time.Duration, noAnswer bool) Borrowing {
+	return Borrowing{calls: calls, retryAfter: retryAfter, noAnswer: noAnswer}
 }
 
 // Admission tells how long the decision about a request took and what it cost.
@@ -198,14 +200,14 @@
 // admitFirstTurn borrows once and rejects the request if that yields no token.
 // It does not compete with requests of running programs that are waiting.
 func (l *Limiter) admitFirstTurn(ctx context.Context, workspace string, state *workspaceState, admission *Admission) error {
-	retryAfter := time.Duration(0)
+	borrowing := Borrowing{}
 	if state.waiting.Load() == 0 {
-		retryAfter = l.borrow(ctx, workspace, NewProgram, state, 1, admission)
+		borrowing = l.borrow(ctx, workspace, NewProgram, state, 1, admission)
 		if now := l.now(); l.shareValid(now) && state.waiting.Load() == 0 && state.bucket.RetryTake(now) {
 			return nil
 		}
 	}
-	return rateLimitError(workspace, state, l.now(), retryAfter)
+	return rejection(workspace, state, l.now(), borrowing)
 }
 
 // Refund puts back the token of a request that reached no backend server.
@@ -262,10 +264,10 @@
 	position := state.waiting.Add(1)
 	defer state.waiting.Add(-1)
 	if state.bucket.MinQueueDelay(position) > maxWait {
-		return rateLimitError(workspace, state, l.now(), 0)
+		return rejection(workspace, state, l.now(), Borrowing{})
 	}
 	for {
-		retryAfter := l.borrow(ctx, workspace, RunningProgram, state, state.waiting.Load(), admission)
+		borrowing := l.borrow(ctx, workspace, RunningProgram, state, state.waiting.Load(), admission)
 		now := l.now()
 		if !l.shareValid(now) {
 			return failure.New(failure.CodeConfigurationUnknown, failure.NotRun, "this hall cannot confirm its share of the rate limit; retry at another hall")
@@ -274,11 +276,11 @@
 			return nil
 		}
 		wait := max(minRetryInterval, min(state.bucket.TimeToToken(now), maxRetryInterval))
-		if retryAfter > 0 {
-			wait = max(minRetryInterval, min(wait, retryAfter))
+		if borrowing.retryAfter > 0 {
+			wait = max(minRetryInterval, min(wait, borrowing.retryAfter))
 		}
-		if now.Add(wait).After(deadline) || now.Add(min(state.bucket.TimeToToken(now), retryAfter)).After(deadline) {
-			return rateLimitError(workspace, state, now, retryAfter)
+		if now.Add(wait).After(deadline) || now.Add(min(state.bucket.TimeToToken(now), borrowing.retryAfter)).After(deadline) {
+			return rejection(workspace, state, now, borrowing)
 		}
 		task.Sleep(ctx, wait)
 		if ctx.Err() != nil {
@@ -287,24 +289,23 @@
 	}
 }
 
-// borrow requests tokens from other halls for the given number of requests, and
-// returns when to try again if they grant none. Only one request of a workspace
-// borrows at a time, because the tokens that it brings also serve the other waiting
-// requests.
-func (l *Limiter) borrow(ctx context.Context, workspace string, priority Priority, state *workspaceState, requests int64, admission *Admission) time.Duration {
+// borrow requests tokens from other halls for the given number of requests. Only one
+// request of a workspace borrows at a time, because the tokens that it brings also
+// serve the other waiting requests.
+func (l *Limiter) borrow(ctx context.Context, workspace string, priority Priority, state *workspaceState, requests int64, admission *Admission) Borrowing {
 	select {
 	case state.borrowing <- struct{}{}:
 		defer func() { <-state.borrowing }()
 	case <-ctx.Done():
-		return 0
+		return Borrowing{}
 	}
 	wanted := state.bucket.BorrowAmount(l.now(), int(requests))
 	if wanted <= 0 {
-		return 0
+		return Borrowing{}
 	}
 	borrowing := l.borrower.Borrow(ctx, workspace, priority, wanted, state.bucket)
 	admission.calls += borrowing.calls
-	return borrowing.retryAfter
+	return borrowing
 }
 
 func (l *Limiter) lookup(workspace string) (*workspaceState, bool) {
@@ -314,12 +315,16 @@
 	return state, found
 }
 
-// rateLimitError returns the rejection of a request. borrowAfter is when other halls
-// may have tokens, zero if unknown.
-func rateLimitError(workspace string, state *workspaceState, now time.Time, borrowAfter time.Duration) error {
+// rejection returns the failure of a request that got no token. A hall that holds none
+// of the workspace's limits and hears no holder does not know whether the workspace is
+// over its limit.
+func rejection(workspace string, state *workspaceState, now time.Time, borrowing Borrowing) error {
+	if borrowing.noAnswer && state.bucket.Rate() <= 0 {
+		return failure.New(failure.CodeConfigurationUnknown, failure.NotRun, "no hall that holds the rate limit of workspace %q answers; retry at another hall", workspace).WithRetryAfter(minRetryAfter)
+	}
 	retryAfter := state.bucket.TimeToToken(now)
-	if borrowAfter > 0 {
-		retryAfter = min(retryAfter, borrowAfter)
+	if borrowing.retryAfter > 0 {
+		retryAfter = min(retryAfter, borrowing.retryAfter)
 	}
 	retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter)
 	return failure.New(failure.CodeRateLimited, failure.NotRun, "workspace %q exceeded its rate limit and burst", workspace).WithRetryAfter(retryAfter)
--- a/hall/ratelimit/peers.go
+++ b/hall/ratelimit/peers.go
@@ -83,26 +83,28 @@
 
 // Borrow implements Borrower.
 func (p *Peers) Borrow(ctx context.Context, workspace string, priority Priority, wanted float64, bucket *limit.Bucket) Borrowing {
-	lenders, retryAfter := p.lenders(workspace, priority)
+	lenders, retryAfter, answering := p.lenders(workspace, priority)
 	calls := 0
 	for _, lender := range lenders {
 		calls++
-		granted, delay := p.requestLoan(ctx, lender, workspace, priority, wanted, bucket)
+		granted, delay, err := p.requestLoan(ctx, lender, workspace, priority, wanted, bucket)
 		wanted -= granted
 		if wanted <= 0 || bucket.Tokens(p.now()) >= 1 {
-			return Borrowing{calls: calls}
+			return NewBorrowing(calls, 0, false)
 		}
+		answering = answering || err == nil
 		retryAfter = min(retryAfter, delay)
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return Borrowing{calls: calls, retryAfter: retryAfter}
+	return NewBorrowing(calls, retryAfter, !answering)
 }
 
-// lenders returns the halls to ask for tokens of a workspace, in random order, and
-// how long the first of those that are left out is not to be asked.
-func (p *Peers) lenders(workspace string, priority Priority) (lenders []host.Member, retryAfter time.Duration) {
+// lenders returns the halls to ask for tokens of a workspace, in random order, how
+// long the first of those that are left out is not to be asked, and whether one of
+// these is left out because it answered that it has no tokens.
+func (p *Peers) lenders(workspace string, priority Priority) (lenders []host.Member, retryAfter time.Duration, answering bool) {
 	now := p.now()
 	retryAfter = holderRetryDelay
 	roster := p.roster.Roster()
@@ -115,12 +117,13 @@
 		}
 		if until := p.notBefore(name, workspace, priority); until.After(now) {
 			retryAfter = min(retryAfter, until.Sub(now))
+			answering = answering || !p.unreachable[name].After(now)
 			continue
 		}
 		lenders = append(lenders, member)
 	}
 	rand.Shuffle(len(lenders), func(i, j int) { lenders[i], lenders[j] = lenders[j], lenders[i] })
-	return lenders, retryAfter
+	return lenders, retryAfter, answering
 }
 
 // notBefore returns when a hall is to be asked again. A hall without a token for a
@@ -136,8 +139,9 @@
 }
 
 // requestLoan asks one hall for a loan and adds it to the bucket. It returns the
-// granted amount and, if that is zero, how long not to ask the hall again.
-func (p *Peers) requestLoan(ctx context.Context, lender host.Member, workspace string, priority Priority, wanted float64, bucket *limit.Bucket) (granted float64, retryAfter time.Duration) {
+// granted amount and, if that is zero, how long not to ask the hall again. The error
+// tells that the hall did not answer.
+func (p *Peers) requestLoan(ctx context.Context, lender host.Member, workspace string, priority Priority, wanted float64, bucket *limit.Bucket) (granted float64, retryAfter time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	sentAt := p.now()
@@ -155,18 +159,18 @@
 			p.unreachable[lender.Name()] = now.Add(holderRetryDelay)
 			p.mutex.Unlock()
 		}
-		return 0, holderRetryDelay
+		return 0, holderRetryDelay, err
 	}
 	loan := limit.NewLoan(reply.GetLoanId(), float64(reply.GetMillitokens())/millitokensPerToken, time.Duration(reply.GetValidMilliseconds())*time.Millisecond)
 	if loan.Amount() > 0 {
 		p.granted.Add(1)
 		bucket.Accept(sentAt, now, lender.Name(), loan)
-		return loan.Amount(), 0
+		return loan.Amount(), 0, nil
 	}
 	p.refused.Add(1)
 	retryAfter = max(minRetryInterval, time.Duration(reply.GetRetryAfterMilliseconds())*time.Millisecond)
 	p.exhausted.Add(loanKey{hall: lender.Name(), workspace: workspace, priority: priority}, now.Add(min(retryAfter, holderRetryDelay)))
-	return 0, retryAfter
+	return 0, retryAfter, nil
 }
 
 // durationToMilliseconds rounds up, so that a hall does not come back too early. The
