--- a/hall/ratelimit/cold_start_test.go
+++ b/hall/ratelimit/cold_start_test.go
@@ -64,7 +64,7 @@
 		}
 		go func() { _ = registrar.Run(ctx) }()
 		manager := ratelimit.NewShareManager(store, name, uint64(index+1), func(time.Time) bool { return true }, zap.NewNop())
-		peers := ratelimit.NewPeers(name, roster, manager, func(address string) ratelimit.Lender { return lenders[address] }, time.Now)
+		peers := ratelimit.NewPeers(name, roster, manager, func(address string) ratelimit.Lender { return lenders[address] }, time.Now, zap.NewNop())
 		limiter := ratelimit.New(peers, manager.ShareValid, 0, time.Now)
 		limiter.ConfigureRows(rows)
 		manager.SetLimiter(limiter)
--- a/hall/ratelimit/limiter.go
+++ b/hall/ratelimit/limiter.go
@@ -224,7 +224,7 @@
 	state, found := l.lookup(request.GetWorkspace())
 	now := l.now()
 	if !found || !l.shareValid(now) {
-		return &wire.LendReply{RetryAfterMilliseconds: holderRetryDelay.Milliseconds()}
+		return &wire.LendReply{RetryAfterMilliseconds: minRetryAfter.Milliseconds()}
 	}
 	claim := limit.Claim{
 		Wanted:  float64(request.GetMillitokens()) / millitokensPerToken,
--- a/hall/ratelimit/peers.go
+++ b/hall/ratelimit/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/limit"
@@ -18,7 +19,7 @@
 	millitokensPerToken = 1000
 	borrowTimeout       = 150 * time.Millisecond
 	// holderRetryDelay is how long a hall does not ask another one again that did
-	// not answer, or that holds no share of the workspace's limits.
+	// not answer.
 	holderRetryDelay = time.Second
 	// exhaustedSize bounds the LRU cache of halls without tokens for a workspace.
 	exhaustedSize = 8192
@@ -45,6 +46,7 @@
 	holders Holders
 	client  func(address string) Lender
 	now     func() time.Time
+	logger  *zap.Logger
 
 	granted atomic.Int64
 	refused atomic.Int64
@@ -64,13 +66,13 @@
 
 // NewPeers returns the Peers of the hall ownName. client returns an RPC client
 // for the hall at an address.
-func NewPeers(ownName string, roster *host.Watcher, holders Holders, client func(address string) Lender, now func() time.Time) *Peers {
+func NewPeers(ownName string, roster *host.Watcher, holders Holders, client func(address string) Lender, now func() time.Time, logger *zap.Logger) *Peers {
 	exhausted, err := lru.New[loanKey, time.Time](exhaustedSize)
 	if err != nil {
 		panic(err) // The size is a positive constant.
 	}
 	return &Peers{
-		ownName: ownName, roster: roster, holders: holders, client: client, now: now,
+		ownName: ownName, roster: roster, holders: holders, client: client, now: now, logger: logger,
 		unreachable: make(map[string]time.Time), exhausted: exhausted,
 	}
 }
@@ -155,9 +157,7 @@
 	if err != nil {
 		p.failed.Add(1)
 		if ctx.Err() != context.Canceled {
-			p.mutex.Lock()
-			p.unreachable[lender.Name()] = now.Add(holderRetryDelay)
-			p.mutex.Unlock()
+			p.markUnreachable(lender.Name(), now, err)
 		}
 		return 0, holderRetryDelay, err
 	}
@@ -173,6 +173,14 @@
 	return 0, retryAfter, nil
 }
 
+func (p *Peers) markUnreachable(hall string, now time.Time, err error) {
+	p.logger.Info("hall does not answer requests for loans, not asking it for a while",
+		zap.String("hall", hall), zap.Duration("retryAfter", holderRetryDelay), zap.Error(err))
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.unreachable[hall] = now.Add(holderRetryDelay)
+}
+
 // durationToMilliseconds rounds up, so that a hall does not come back too early. The
 // longest delay that it returns is maxRetryAfter.
 func durationToMilliseconds(delay time.Duration) int64 {
--- a/hall/ratelimit/refusal_queue.go
+++ b/hall/ratelimit/refusal_queue.go
@@ -19,7 +19,7 @@
 func (q *refusalQueue) next(now time.Time, bucket *limit.Bucket) time.Duration {
 	rate := bucket.Rate()
 	if rate <= 0 {
-		return holderRetryDelay
+		return minRetryAfter // This hall has not applied its slices of the limits yet.
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- a/hall/ratelimit/share_manager.go
+++ b/hall/ratelimit/share_manager.go
@@ -159,7 +159,7 @@
 			defer cancel()
 			for innerCtx.Err() == nil && m.registrar.Epoch() == epoch {
 				if err := m.maintain(innerCtx); err != nil {
-					m.logger.Debug("share table not maintained", zap.Error(err))
+					m.Failed(err)
 					return
 				}
 				task.Sleep(innerCtx, pollInterval)
@@ -244,7 +244,7 @@
 
 // Failed implements platform.Subscriber.
 func (m *ShareManager) Failed(err error) {
-	m.logger.Debug("share table watch failed", zap.Error(err))
+	m.logger.Debug("failed to read or write the share table", zap.Error(err))
 	m.lock()
 	defer m.unlock()
 	m.version = 0
@@ -301,7 +301,7 @@
 	}
 	until := time.Now().Add(LeaseDuration - staleReadMargin - listing.Age)
 	m.owners.Store(shares.Owners())
-	m.limiter.SetSlices(own.Slices(), false)
+	m.setSlices(own.Slices(), false)
 	if m.inheritedUntil.Swap(&until) != nil {
 		return nil
 	}
@@ -345,6 +345,7 @@
 		return fmt.Errorf("share is held by a newer incarnation of this hall, %d", own.Holder().Incarnation())
 	}
 	if !found {
+		m.tableCreated = false
 		m.dropShare(entry.Version)
 		if listed && m.followedEpoch != 0 {
 			m.mustConfirm = false
@@ -360,13 +361,21 @@
 	m.confirmedEpoch.Store(epoch)
 	m.inheritedUntil.Store(nil)
 	if own.Slices() != m.limiter.Slices() {
-		m.limiter.SetSlices(own.Slices(), m.tableCreated)
+		m.setSlices(own.Slices(), m.tableCreated)
 		m.tableCreated = false
 		m.logger.Info("share changed", zap.Int64("parts", own.Slices().Parts()), zap.Int64("whole", limit.TotalParts), zap.Stringer("slices", own.Slices()))
 	}
 	return nil
 }
 
+// setSlices sets the slices that this hall spends, none once it leaves.
+func (m *ShareManager) setSlices(held limit.SliceSet, fill bool) {
+	m.limiter.SetSlices(held, fill)
+	if m.leaving.Load() {
+		m.limiter.SetSlices(limit.SliceSet{}, false)
+	}
+}
+
 // holder returns the current registration of this hall.
 func (m *ShareManager) holder() limit.Holder {
 	return limit.NewHolder(m.hall, m.incarnation, m.registrar.Version())
@@ -450,7 +459,7 @@
 		return nil
 	}
 	m.lastTransfer = now
-	m.limiter.SetSlices(kept, false)
+	m.setSlices(kept, false)
 	err := m.saveShares(ctx, next, m.version)
 	m.mustConfirm = err != nil
 	return err
