--- a/hall/ratelimit/cold_start_test.go
+++ b/hall/ratelimit/cold_start_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -163,3 +164,33 @@
 		}
 	})
 }
+
+// TestRetryAfterAtHallWithoutSlices sends more requests than the limit allows through a
+// hall that holds none of the workspace's limits. It guards against a Retry-After of
+// ten seconds, which follows from the hall's own rate of zero.
+func TestRetryAfterAtHallWithoutSlices(t *testing.T) {
+	const (
+		rate          = 20.0
+		requests      = 60
+		maxRetryAfter = requests / rate * time.Second // All that are ahead are served then.
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		c := newRateCluster(ctx, 26, []table.Row{table.NewRow(workspace, 1, rate, 20, 0, nil)})
+		time.Sleep(5 * time.Second)
+		hall := slices.IndexFunc(c.limiters, func(l *ratelimit.Limiter) bool { return l.Slices().Fraction(workspace) == 0 })
+		for number := range requests {
+			go func() {
+				_, err := c.limiters[hall].Admit(ctx, workspace, []ratelimit.Priority{ratelimit.RunningProgram, ratelimit.NewProgram}[number%2])
+				var rejected *failure.Error
+				if errors.As(err, &rejected) && rejected.RetryAfter() > maxRetryAfter {
+					t.Errorf("Retry-After of request %d: got %s, want at most %s", number, rejected.RetryAfter(), maxRetryAfter)
+				}
+			}()
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/hall/ratelimit/limiter.go
+++ b/hall/ratelimit/limiter.go
@@ -325,6 +325,9 @@
 	retryAfter := state.bucket.TimeToToken(now)
 	if borrowing.retryAfter > 0 {
 		retryAfter = min(retryAfter, borrowing.retryAfter)
+	} else {
+		// No other hall was asked, because of the requests that already wait here.
+		retryAfter = min(retryAfter, state.bucket.MinQueueDelay(state.waiting.Load()+1))
 	}
 	retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter)
 	return failure.New(failure.CodeRateLimited, failure.NotRun, "workspace %q exceeded its rate limit and burst", workspace).WithRetryAfter(retryAfter)
