--- a/hall/ratelimit/share_manager_test.go
+++ b/hall/ratelimit/share_manager_test.go
@@ -175,3 +175,35 @@
 		}
 	})
 }
+
+// TestHallWaitsForHallsOfEarlierVersion starts a hall while one of a version with another
+// share table runs. It guards against both tables standing for the whole limits.
+func TestHallWaitsForHallsOfEarlierVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		store := memory.New(time.Now)
+		const earlierKey = "limits/holders/hall-0"
+		earlier, err := store.CompareAndSwap(ctx, earlierKey, []byte("1"), 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		manager := ratelimit.NewShareManager(store, "hall-1", 2, func(time.Time) bool { return true }, zap.NewNop())
+		limiter := ratelimit.New(nil, manager.ShareValid, 0, time.Now)
+		manager.SetLimiter(limiter)
+		go func() { _ = manager.Register(ctx) }()
+		go func() { _ = manager.Follow(ctx) }()
+		time.Sleep(5 * time.Second)
+		if got, want := manager.ShareValid(time.Now()), false; got != want {
+			t.Errorf("share valid while the earlier hall runs: got %t, want %t", got, want)
+		}
+		if err := store.Delete(ctx, earlierKey, earlier.Version); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if got, want := limiter.ShareParts(), int64(limit.TotalParts); got != want {
+			t.Errorf("parts after the earlier hall has stopped: got %d, want %d", got, want)
+		}
+	})
+}
