gateway: log the limits that backend servers name

Callers noticed nothing while servers got more than the limit that they name in their answers. The logs did not tell whether a hall had seen a limit, so 'not read' and 'read too late' could not be told apart.

Halls now read Server-Limit: one log line for each change at a hall, and the limit of the chosen server (serverLimit) on the line of each request. No request is sent elsewhere because of it yet.

--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/hall/balance"
+	"limpethall.dev/hall/serverlimit"
 	"limpethall.dev/kernel/connection"
 )
 
@@ -49,6 +50,10 @@
 		sentAt := time.Now()
 		response, err := h.gateway.options.Backend.Send(ctx, choice.Server(), h.newBackendRequest(resumeAfter))
 		h.sendDuration += time.Since(sentAt)
+		if err == nil {
+			now := time.Now()
+			h.gateway.options.Limits.Observe(now, choice.Server().ID(), serverlimit.NewObservation(response.Limit, sentAt, now))
+		}
 		if err == nil && !response.NotRun {
 			h.reportLoad(choice, response)
 			return &serverResponse{Response: response, choice: choice}, nil
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -26,6 +26,7 @@
 
 	"limpethall.dev/hall/balance"
 	"limpethall.dev/hall/ratelimit"
+	"limpethall.dev/hall/serverlimit"
 	"limpethall.dev/hall/turns"
 	"limpethall.dev/kernel/catalog"
 	"limpethall.dev/kernel/failure"
@@ -85,6 +86,7 @@
 	Admitter Admitter
 	Turns    TurnStore
 	Balancer *balance.Balancer
+	Limits   *serverlimit.Tracker
 	Backend  Backend
 	Crashes  CrashTracker
 	// HallCount returns how many halls share the connection limit of a server.
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"limpethall.dev/hall/balance"
 	"limpethall.dev/hall/gateway"
 	"limpethall.dev/hall/ratelimit"
+	"limpethall.dev/hall/serverlimit"
 	"limpethall.dev/hall/turns"
 	"limpethall.dev/kernel/backend"
 	"limpethall.dev/kernel/catalog"
@@ -178,6 +179,7 @@
 	}
 	directory.Publish(backend.NewList(1, time.Now(), servers, nil))
 	f.gateway = gateway.New(gateway.Options{
+		Limits: serverlimit.NewTracker(zap.NewNop()),
 		Catalog: func() *catalog.Catalog { return current }, Admitter: f.admitter, Turns: f.turns, Balancer: balancer,
 		Backend: f.backend, Crashes: f.crashTracker, HallCount: func() int { return 1 }, Logger: zap.NewNop(),
 	})
--- a/hall/gateway/metrics.go
+++ b/hall/gateway/metrics.go
@@ -66,7 +66,7 @@
 	}
 	if h.lastChoice != nil {
 		fields = append(fields, zap.String("server", h.lastChoice.Server().ID()), zap.Duration("cost", h.lastChoice.ExpectedDelay()),
-			zap.Bool("home", h.lastChoice.IsPreferred()), zap.Duration("listAge", h.lastChoice.ListAge()))
+			zap.Float64("serverLimit", h.gateway.options.Limits.Current(h.lastChoice.Server().ID()).Statement().Rate()), zap.Bool("home", h.lastChoice.IsPreferred()), zap.Duration("listAge", h.lastChoice.ListAge()))
 	}
 	if h.refusal != nil {
 		status = h.refusal.status
--- a/hall/gateway/request.go
+++ b/hall/gateway/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpethall.dev/hall/balance"
+	"limpethall.dev/hall/serverlimit"
 	"limpethall.dev/kernel/backend"
 )
 
@@ -63,6 +64,8 @@
 	NotRun bool
 	// Load is the load that the server reported, nil if it reported none.
 	Load *balance.Load
+	// Limit is what the response says about the limit of its server.
+	Limit serverlimit.Statement
 	// Close ends the exchange and releases its connection.
 	Close func()
 }
--- /dev/null
+++ b/hall/serverlimit/tracker.go
@@ -0,0 +1,68 @@
+package serverlimit
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Tracker holds the newest observation of each backend server. It is safe for
+// concurrent use.
+type Tracker struct {
+	logger *zap.Logger
+
+	mutex        sync.RWMutex
+	observations map[string]Observation // By server ID.
+}
+
+// NewTracker returns a Tracker that knows no limits.
+func NewTracker(logger *zap.Logger) *Tracker {
+	return &Tracker{logger: logger, observations: make(map[string]Observation)}
+}
+
+// Observe records what a response of the server said, and returns the observation that
+// holds now. Servers that never named a limit are not recorded.
+func (t *Tracker) Observe(now time.Time, serverID string, observation Observation) Observation {
+	if !observation.statement.limited && !t.isKnown(serverID) {
+		return Observation{}
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	previous := t.observations[serverID]
+	current := previous.merge(observation)
+	t.observations[serverID] = current
+	if current.statement != previous.statement {
+		t.logger.Info("limit of a backend server changed", zap.String("server", serverID), zap.Bool("limited", current.statement.limited),
+			zap.Float64("requestsPerSecond", current.statement.rate), zap.Float64("previous", previous.statement.rate), zap.Duration("age", current.Age(now)))
+	}
+	return current
+}
+
+// Current returns the observation that holds for the server.
+func (t *Tracker) Current(serverID string) Observation {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	return t.observations[serverID]
+}
+
+// IsLimited reports whether the server names a limit.
+func (t *Tracker) IsLimited(serverID string) bool { return t.Current(serverID).statement.limited }
+
+// Retain removes the observations of servers for which keep returns false.
+func (t *Tracker) Retain(keep func(serverID string) bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for serverID := range t.observations {
+		if !keep(serverID) {
+			delete(t.observations, serverID)
+		}
+	}
+}
+
+func (t *Tracker) isKnown(serverID string) bool {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	_, found := t.observations[serverID]
+	return found
+}
