--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -179,7 +179,7 @@
 	}
 	directory.Publish(backend.NewList(1, time.Now(), servers, nil))
 	f.gateway = gateway.New(gateway.Options{
-		Limits: serverlimit.NewTracker(zap.NewNop()),
+		Limits:  serverlimit.NewTracker(zap.NewNop()),
 		Catalog: func() *catalog.Catalog { return current }, Admitter: f.admitter, Turns: f.turns, Balancer: balancer,
 		Backend: f.backend, Crashes: f.crashTracker, HallCount: func() int { return 1 }, Logger: zap.NewNop(),
 	})
