gateway: keep to the limits that backend servers name, over all halls

What callers saw: nothing; backend servers that named a limit of 5 requests/s got 42 to 79 in 4 s where about 35 were allowed, and went on getting what they had before.

Cause: no hall read Server-Limit. Each hall chose servers by load and affinity alone, and no hall knew what the others send.

Why this works: each limit is kept at one hall, chosen by rendezvous hashing; every send to a limited server, first or repeated, needs its permission. The sum over halls is therefore decided at one place, whatever the number of halls. A program counts as running once a request of it was sent, no longer when its first request was admitted.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -5,7 +5,8 @@
 // queue at the server, its utilization, the network latency to its availability
 // zone, and the recomputation of the program's history on a server that does not
 // hold it. Servers with a recent failure are only used as a last resort. A cold
-// server receives no more than this hall's portion of its cold rate.
+// server receives no more than this hall's portion of its cold rate. A server that
+// names a limit is chosen if the wait for the limit costs less than another server.
 //
 // # Usage
 //
@@ -16,6 +17,7 @@
 package balance
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -66,6 +68,15 @@
 	AffinityKey string
 	// Tried lists the IDs of servers to skip.
 	Tried map[string]bool
+	// Limit returns the limit that a server names, in requests per second. It is nil if
+	// no server names one.
+	Limit func(serverID string) (rate float64, limited bool)
+	// SkipLimited excludes the servers that name a limit.
+	SkipLimited bool
+	// MaxWait is how long the request may wait for the limit of a server if those without
+	// a limit are full. If it is negative, the limit must have been unused for that long,
+	// and the request is not queued at a full server while others are at their limits.
+	MaxWait time.Duration
 }
 
 // Load is the load that a server reports.
@@ -77,16 +88,28 @@
 
 // NoServerError reports that no server can accept the request now.
 type NoServerError struct {
-	service string
-	usable  int
-	cold    int
+	service    string
+	usable     int
+	cold       int
+	limited    int
+	limitRate  float64
+	retryAfter time.Duration
 }
 
 // Error implements error.
 func (e *NoServerError) Error() string {
-	return fmt.Sprintf("no server of %s can accept the request: %d usable, %d of them cold and at their rate limit", e.service, e.usable, e.cold)
+	return fmt.Sprintf("no server of %s can accept the request: %d usable, %d of them cold and at their rate limit, %d at the limit that they named",
+		e.service, e.usable, e.cold, e.limited)
 }
 
+// RetryAfter returns when the limit of one of the servers may allow the request, zero
+// if none is at its limit.
+func (e *NoServerError) RetryAfter() time.Duration { return e.retryAfter }
+
+// LimitRate returns the sum of the limits of the servers that are at their limits, in
+// requests per second.
+func (e *NoServerError) LimitRate() float64 { return e.limitRate }
+
 // serverState is what this hall knows about the load of one server.
 type serverState struct {
 	outstanding         int
@@ -96,6 +119,9 @@
 	failedAt            time.Time
 	coldSends           []time.Time
 	nextColdSend        time.Time // Used if this hall may send less than one cold request per window.
+	limitWaitUntil      time.Time // When a request that was granted last may be sent.
+	refusedUntil        time.Time // When the limit may allow a request again that waits up to refusedWait.
+	refusedWait         time.Duration
 }
 
 // Balancer selects backend servers. It is safe for concurrent use.
@@ -129,6 +155,9 @@
 	state     *serverState
 	delay     time.Duration
 	preferred bool
+	limited   bool
+	limitRate float64
+	maxWait   time.Duration
 	listAge   time.Duration
 	done      bool
 }
@@ -143,41 +172,118 @@
 // one that holds its history or, if none is known, the one to which it hashes.
 func (c *Choice) IsPreferred() bool { return c.preferred }
 
+// IsLimited reports whether the server names a limit, so that the request needs a
+// permission before it is sent.
+func (c *Choice) IsLimited() bool { return c.limited }
+
+// MaxWait returns how long to wait for the limit of the server before another server
+// is the better choice. If it is negative, the limit must have been unused for that long.
+func (c *Choice) MaxWait() time.Duration { return c.maxWait }
+
 // ListAge returns the age of the server list at the time of selection.
 func (c *Choice) ListAge() time.Duration { return c.listAge }
 
 // Choose returns the server with the lowest expected delay. The request counts
 // as outstanding at that server until Done is called.
 func (b *Balancer) Choose(now time.Time, query Query) (*Choice, error) {
-	list := b.directory.List()
-	usable := list.Usable(query.Service.Name)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	best, err := b.selectServer(now, query)
+	if err != nil {
+		return nil, err
+	}
+	best.state.outstanding++
+	if best.server.Cold(now) {
+		best.state.recordColdSend(now, query.Service, b.hallCount())
+	}
+	return &best, nil
+}
+
+// CheckLimits returns a *NoServerError if no server can accept the request now because
+// of the limits that servers name.
+func (b *Balancer) CheckLimits(now time.Time, query Query) error {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	_, err := b.selectServer(now, query)
+	var noServerErr *NoServerError
+	if errors.As(err, &noServerErr) && noServerErr.limited > 0 {
+		return err
+	}
+	return nil
+}
+
+// selectServer returns the server with the lowest expected delay. The caller must hold
+// the mutex.
+func (b *Balancer) selectServer(now time.Time, query Query) (Choice, error) {
+	list := b.directory.List()
+	usable := list.Usable(query.Service.Name)
 	preferred := b.preferredServer(query.AffinityKey, usable)
 	best := Choice{delay: math.MaxInt64}
-	coldSkipped := 0
+	noServer := &NoServerError{service: query.Service.Name, usable: len(usable)}
+	var limited []Choice
 	for _, server := range usable {
 		if query.Tried[server.ID()] {
 			continue
 		}
 		state := b.stateOf(server)
 		if server.Cold(now) && !state.allowsColdSend(now, query.Service, b.hallCount()) {
-			coldSkipped++
+			noServer.cold++
+			continue
+		}
+		candidate := Choice{
+			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred),
+			preferred: server.ID() == preferred, listAge: list.Age(now),
+		}
+		if query.Limit != nil {
+			candidate.limitRate, candidate.limited = query.Limit(server.ID())
+		}
+		if candidate.limited {
+			limited = append(limited, candidate)
+		} else if candidate.delay < best.delay {
+			best = candidate
+		}
+	}
+	return b.compareLimited(now, query, best, limited, noServer)
+}
+
+// compareLimited returns the better of the best server without a limit, which may be
+// none, and those with a limit that allows the request in time.
+func (b *Balancer) compareLimited(now time.Time, query Query, unlimited Choice, limited []Choice, noServer *NoServerError) (Choice, error) {
+	best := unlimited
+	hasRoom := unlimited.state != nil && unlimited.state.hasRoom(now, unlimited.server)
+	leavesReserve := query.MaxWait < 0
+	for _, candidate := range limited {
+		candidate.maxWait = query.MaxWait
+		if hasRoom {
+			// A request waits for a limit only as long as no other server is faster.
+			candidate.maxWait = unlimited.delay - candidate.delay
+			if candidate.maxWait < 0 {
+				continue
+			}
+		}
+		wait, allowed := candidate.state.limitWait(now, candidate.maxWait)
+		if !allowed || query.SkipLimited {
+			noServer.addLimited(candidate.limitRate, wait)
 			continue
 		}
-		delay := b.expectedDelay(now, query, server, state, preferred)
-		if delay < best.delay {
-			best = Choice{balancer: b, server: server, state: state, delay: delay, preferred: server.ID() == preferred, listAge: list.Age(now)}
+		// An unused limit goes before the queue at a full server.
+		if candidate.delay += wait; candidate.delay < best.delay || (leavesReserve && !hasRoom && !best.limited) {
+			best = candidate
 		}
 	}
-	if best.state == nil {
-		return nil, &NoServerError{service: query.Service.Name, usable: len(usable), cold: coldSkipped}
+	if best.state == nil || (leavesReserve && !hasRoom && !best.limited && noServer.limited > 0) {
+		return Choice{}, noServer
 	}
-	best.state.outstanding++
-	if best.server.Cold(now) {
-		best.state.recordColdSend(now, query.Service, b.hallCount())
+	return best, nil
+}
+
+// addLimited counts a server whose limit may allow the request after the wait.
+func (e *NoServerError) addLimited(rate float64, wait time.Duration) {
+	if e.limited == 0 || wait < e.retryAfter {
+		e.retryAfter = wait
 	}
-	return &best, nil
+	e.limited++
+	e.limitRate += rate
 }
 
 // Done ends the request at the server. Further calls have no effect.
@@ -216,6 +322,24 @@
 	c.state.failedAt = now
 }
 
+// ReportLimitWait records how long a request waits for the limit of the server.
+func (c *Choice) ReportLimitWait(now time.Time, wait time.Duration) {
+	c.balancer.mutex.Lock()
+	defer c.balancer.mutex.Unlock()
+	c.state.limitWaitUntil = now.Add(wait)
+}
+
+// ReportLimitRefusal records that the limit of the server does not allow a request
+// that waits up to MaxWait before retryAfter has passed.
+func (c *Choice) ReportLimitRefusal(now time.Time, retryAfter time.Duration) {
+	c.balancer.mutex.Lock()
+	defer c.balancer.mutex.Unlock()
+	if now.Before(c.state.refusedUntil) && c.maxWait < c.state.refusedWait {
+		return // It holds for more requests than this refusal.
+	}
+	c.state.refusedUntil, c.state.refusedWait = now.Add(retryAfter), c.maxWait
+}
+
 // preferredServer returns the ID of the server that holds the history of the key.
 // If none is known, it selects a server of this zone by rendezvous hashing, with
 // the same result at all halls of the zone.
@@ -248,10 +372,7 @@
 }
 
 func (b *Balancer) expectedDelay(now time.Time, query Query, server backend.Server, state *serverState, preferred string) time.Duration {
-	slots := server.Slots()
-	if slots == 0 {
-		slots = defaultSlots
-	}
+	slots := slotsOf(server)
 	requests := state.estimatedRequests(now)
 	delay := time.Duration(requests / float64(slots) * float64(utilizationDelay))
 	if queued := requests - float64(slots) + 1; queued > 0 {
@@ -273,6 +394,18 @@
 	return delay
 }
 
+// hasRoom reports whether the server has free slots and no recent failure.
+func (s *serverState) hasRoom(now time.Time, server backend.Server) bool {
+	return now.Sub(s.failedAt) >= failureWindow && s.estimatedRequests(now) < float64(slotsOf(server))
+}
+
+func slotsOf(server backend.Server) int {
+	if server.Slots() == 0 {
+		return defaultSlots
+	}
+	return server.Slots()
+}
+
 // estimatedRequests estimates the number of requests at the server: those of
 // this hall, plus those of other halls at the last report, weighted down as the
 // report ages.
@@ -285,6 +418,19 @@
 	return float64(s.outstanding) + others*float64(reportHalfLife)/float64(reportHalfLife+age)
 }
 
+// limitWait returns the expected wait for the limit of the server. If a request that
+// waits up to maxWait is not allowed, it returns when it may be.
+func (s *serverState) limitWait(now time.Time, maxWait time.Duration) (wait time.Duration, allowed bool) {
+	if wait = s.refusedUntil.Sub(now); wait > 0 && maxWait <= s.refusedWait {
+		return wait, false
+	}
+	wait = max(0, s.limitWaitUntil.Sub(now))
+	if wait > 0 && maxWait < wait {
+		return wait - maxWait, false
+	}
+	return wait, true
+}
+
 // allowsColdSend reports whether this hall may send one more request to a cold
 // server. With so many halls that each may send less than one request per window,
 // each sends at a fixed interval with a random offset, so that the halls do not
--- a/hall/balance/balance_test.go
+++ b/hall/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -194,3 +195,77 @@
 		t.Errorf("fraction of programs at the new service: got %.3f, want 0.10", fraction)
 	}
 }
+
+// limitOf returns a function for balance.Query that names a limit for the given servers.
+func limitOf(servers ...string) func(string) (float64, bool) {
+	return func(id string) (float64, bool) {
+		if slices.Contains(servers, id) {
+			return 5, true
+		}
+		return 0, false
+	}
+}
+
+// TestLimitedServerIsUsedWhileItsWaitIsShort guards against requests that wait for the
+// limit of a server although another one is faster, and against limits that are not used.
+func TestLimitedServerIsUsedWhileItsWaitIsShort(t *testing.T) {
+	directory := backend.NewDirectory()
+	b := balance.New("a", directory, func() int { return 1 })
+	publish(directory, backend.Options{ID: "limited", Zone: "a"}, backend.Options{ID: "free", Zone: "b"})
+	query := balance.Query{Service: modelService, Limit: limitOf("limited"), MaxWait: 500 * time.Millisecond}
+	now := time.Now()
+	first, err := b.Choose(now, query)
+	if err != nil || first.Server().ID() != "limited" || !first.IsLimited() {
+		t.Fatalf("first choice: got %v, error %v, want the limited server in the same zone", first, err)
+	}
+	if got := first.MaxWait(); got > 10*time.Millisecond {
+		t.Errorf("wait for the limit while the other server is free: got up to %s, want at most 10 ms", got)
+	}
+	first.ReportLimitWait(now, 200*time.Millisecond)
+	if next, err := b.Choose(now, query); err != nil || next.Server().ID() != "free" {
+		t.Errorf("choice while the limit means a wait of 200 ms: got %v, error %v, want the free server", next, err)
+	}
+	later := now.Add(250 * time.Millisecond)
+	next, err := b.Choose(later, query)
+	if err != nil || next.Server().ID() != "limited" {
+		t.Fatalf("choice after the wait: got %v, error %v, want the limited server", next, err)
+	}
+	next.ReportLimitRefusal(later, 100*time.Millisecond)
+	if next, err := b.Choose(later, query); err != nil || next.Server().ID() != "free" {
+		t.Errorf("choice after a refusal: got %v, error %v, want the free server", next, err)
+	}
+}
+
+// TestProgramsAreNotStartedAtFullServers guards against the requests over the limits of
+// some servers that all go to the remaining ones and queue there until their deadlines.
+// Running programs may queue.
+func TestProgramsAreNotStartedAtFullServers(t *testing.T) {
+	directory := backend.NewDirectory()
+	b := balance.New("a", directory, func() int { return 1 })
+	publish(directory, backend.Options{ID: "limited", Zone: "a"}, backend.Options{ID: "free", Zone: "a"})
+	now := time.Now()
+	running := balance.Query{Service: modelService, Limit: limitOf("limited"), MaxWait: 100 * time.Millisecond}
+	starting := balance.Query{Service: modelService, Limit: limitOf("limited"), MaxWait: -100 * time.Millisecond}
+	for range 8 {
+		choice, err := b.Choose(now, balance.Query{Service: modelService, Tried: map[string]bool{"limited": true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer choice.Done()
+	}
+	choice, err := b.Choose(now, starting)
+	if err != nil || choice.Server().ID() != "limited" || choice.MaxWait() >= 0 {
+		t.Fatalf("server of a new program: got %v, error %v, want the limited one, if its limit is unused", choice, err)
+	}
+	choice.ReportLimitRefusal(now, 50*time.Millisecond)
+	var noServerErr *balance.NoServerError
+	if err := b.CheckLimits(now, starting); !errors.As(err, &noServerErr) || noServerErr.RetryAfter() != 50*time.Millisecond || noServerErr.LimitRate() != 5 {
+		t.Errorf("new program while one server is full and one at its limit: got error %v, want a NoServerError that names when to return", err)
+	}
+	if choice, err := b.Choose(now, running); err != nil || choice.Server().ID() != "limited" {
+		t.Errorf("server of a running program: got %v, error %v, want it to wait for the limited one", choice, err)
+	}
+	if choice, err := b.Choose(now, balance.Query{Service: modelService, Limit: limitOf("limited"), MaxWait: 100 * time.Millisecond, SkipLimited: true}); err != nil || choice.Server().ID() != "free" {
+		t.Errorf("server of a running program that was refused often: got %v, error %v, want it to queue at the full one", choice, err)
+	}
+}
--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -41,18 +41,30 @@
 		if refusal := h.checkSendAllowed(ctx); refusal != nil {
 			return nil, refusal
 		}
-		choice, err := h.gateway.options.Balancer.Choose(time.Now(), balance.Query{Service: h.service, AffinityKey: h.affinityKey, Tried: h.tried})
+		choice, err := h.gateway.options.Balancer.Choose(time.Now(), h.balancerQuery())
 		if err != nil {
 			return nil, h.noServerRefusal(err)
 		}
 		h.lastChoice = choice
+		if choice.IsLimited() {
+			allowed, refusal := h.awaitLimit(ctx, choice)
+			if refusal != nil {
+				choice.Done()
+				return nil, refusal
+			}
+			if !allowed {
+				choice.Done()
+				continue
+			}
+		}
 		h.sends++
+		h.recordProgram()
 		sentAt := time.Now()
 		response, err := h.gateway.options.Backend.Send(ctx, choice.Server(), h.newBackendRequest(resumeAfter))
 		h.sendDuration += time.Since(sentAt)
 		if err == nil {
 			now := time.Now()
-			h.gateway.options.Limits.Observe(now, choice.Server().ID(), serverlimit.NewObservation(response.Limit, sentAt, now))
+			h.gateway.options.Limits.Tracker().Observe(now, choice.Server().ID(), serverlimit.NewObservation(response.Limit, sentAt, now))
 		}
 		if err == nil && !response.NotRun {
 			h.reportLoad(choice, response)
@@ -163,7 +175,13 @@
 	if h.possibleRuns > 0 {
 		return refuse(http.StatusBadGateway, "%d backend servers failed, then: %v", h.possibleRuns, err)
 	}
-	return refuseRetryable(defaultRetryAfter, "%v", err)
+	retryAfter := defaultRetryAfter
+	var noServerErr *balance.NoServerError
+	if errors.As(err, &noServerErr) && noServerErr.LimitRate() > 0 {
+		rate := noServerErr.LimitRate() / float64(max(1, h.gateway.options.HallCount()))
+		retryAfter = h.gateway.returns.next(time.Now(), h.service.Name, rate, max(retryAfter, noServerErr.RetryAfter()))
+	}
+	return refuseRetryable(retryAfter, "%v", err)
 }
 
 // serveResponse forwards the request and relays a response that is not an event
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -46,6 +46,19 @@
 	// minRemaining is the time before the deadline below which a request is no
 	// longer sent.
 	minRemaining = 5 * time.Millisecond
+	// maxLimitWait is how long a request of a running program waits for the limit of a
+	// backend server.
+	maxLimitWait = 500 * time.Millisecond
+	// newProgramReserve is how long the limit of a server must have been unused for a
+	// request that starts a program while all servers name limits. It leaves a reserve to
+	// running programs, whose work so far is lost if a request is refused.
+	newProgramReserve = 200 * time.Millisecond
+	// maxReturnDelay bounds the queue of callers that return after a refusal because of
+	// the limits of servers.
+	maxReturnDelay = 2 * time.Second
+	// maxLimitRefusals is after how many refusals because of the limits of servers a
+	// request goes to a server without one, or is refused.
+	maxLimitRefusals = 4
 	// knownProgramsSize bounds the LRU cache of programs that have begun.
 	knownProgramsSize = 8192
 )
@@ -86,7 +99,7 @@
 	Admitter Admitter
 	Turns    TurnStore
 	Balancer *balance.Balancer
-	Limits   *serverlimit.Tracker
+	Limits   *serverlimit.Limiter
 	Backend  Backend
 	Crashes  CrashTracker
 	// HallCount returns how many halls share the connection limit of a server.
@@ -99,7 +112,8 @@
 type Gateway struct {
 	options       Options
 	active        atomic.Int64
-	knownPrograms *lru.Cache[string, struct{}] // Programs with an admitted request at this hall.
+	returns       returnQueue
+	knownPrograms *lru.Cache[string, struct{}] // Programs with a request that this hall sent to a server.
 }
 
 // New returns a gateway.
@@ -147,9 +161,12 @@
 	deadline    time.Time
 
 	admission      ratelimit.Admission
+	rank           ratelimit.Priority
 	admitted       bool // Whether the request holds a token of its workspace's rate limit.
 	tried          map[string]bool
 	lastChoice     *balance.Choice
+	limitRefusals  int           // Number of servers whose limits did not allow the request.
+	limitWait      time.Duration // Time spent for the limits of servers.
 	sends          int
 	possibleRuns   int // Number of sends after which the request may have run.
 	status         int // Status of the relayed response.
@@ -199,16 +216,19 @@
 	}
 	h.service = service
 	h.setDeadline()
+	h.rank, h.affinityKey = h.priority(), h.request.Program
+	if err := h.gateway.options.Balancer.CheckLimits(time.Now(), h.balancerQuery()); err != nil {
+		return h.noServerRefusal(err)
+	}
 	if h.workspace == nil || h.workspace.Rate <= 0 {
 		return nil
 	}
 	var err error
-	h.admission, err = h.gateway.options.Admitter.Admit(ctx, h.workspace.Name, h.priority())
+	h.admission, err = h.gateway.options.Admitter.Admit(ctx, h.workspace.Name, h.rank)
 	var rateErr *failure.Error
 	switch {
 	case err == nil:
 		h.admitted = true
-		h.recordProgram()
 		return nil
 	case errors.As(err, &rateErr) && rateErr.Code() == failure.CodeRateLimited:
 		refusal := refuse(http.StatusTooManyRequests, "workspace %s exceeded its rate limit", h.workspace.Name)
@@ -221,7 +241,7 @@
 
 // priority distinguishes the first turn of a program from later ones. A turn that
 // names a previous one is a later turn; for the others, the hall looks up whether
-// it has admitted a request of the program before.
+// it has sent a request of the program to a server before.
 func (h *requestHandler) priority() ratelimit.Priority {
 	if h.route.Kind != catalog.KindStream || h.request.PreviousTurn != "" || h.gateway.knownPrograms.Contains(h.request.Program) {
 		return ratelimit.RunningProgram
@@ -281,7 +301,6 @@
 // beginTurn reserves the turn's tokens and prepends its history to the body.
 func (h *requestHandler) beginTurn(ctx context.Context) *Refusal {
 	h.body = h.request.Body
-	h.affinityKey = h.request.Program
 	if h.route.Kind != catalog.KindStream || h.request.Program == "" {
 		return nil
 	}
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"limpethall.dev/kernel/catalog"
 	"limpethall.dev/kernel/connection"
 	"limpethall.dev/kernel/failure"
+	"limpethall.dev/kernel/host"
 )
 
 // cannedResponse is the result of one request to the fake backend.
@@ -179,7 +180,7 @@
 	}
 	directory.Publish(backend.NewList(1, time.Now(), servers, nil))
 	f.gateway = gateway.New(gateway.Options{
-		Limits:  serverlimit.NewTracker(zap.NewNop()),
+		Limits:  serverlimit.New("hall-0", func() []host.Member { return nil }, nil, serverlimit.NewTracker(zap.NewNop()), zap.NewNop()),
 		Catalog: func() *catalog.Catalog { return current }, Admitter: f.admitter, Turns: f.turns, Balancer: balancer,
 		Backend: f.backend, Crashes: f.crashTracker, HallCount: func() int { return 1 }, Logger: zap.NewNop(),
 	})
--- a/hall/gateway/metrics.go
+++ b/hall/gateway/metrics.go
@@ -48,7 +48,7 @@
 	fields := []zap.Field{
 		zap.String("requestId", h.request.ID), zap.Duration("took", elapsed), zap.Duration("first", h.firstByteDelay), zap.Duration("keepers", h.beginDuration),
 		zap.Duration("token", h.admission.Took()), zap.Int("loanCalls", h.admission.Calls()), zap.Duration("backend", h.sendDuration),
-		zap.Int("sends", h.sends), zap.Int("runs", h.possibleRuns),
+		zap.Duration("limitWait", h.limitWait), zap.Int("limitRefusals", h.limitRefusals), zap.Int("sends", h.sends), zap.Int("runs", h.possibleRuns),
 	}
 	kind, status := "none", h.status
 	if h.catalog != nil {
@@ -66,7 +66,7 @@
 	}
 	if h.lastChoice != nil {
 		fields = append(fields, zap.String("server", h.lastChoice.Server().ID()), zap.Duration("cost", h.lastChoice.ExpectedDelay()),
-			zap.Float64("serverLimit", h.gateway.options.Limits.Current(h.lastChoice.Server().ID()).Statement().Rate()), zap.Bool("home", h.lastChoice.IsPreferred()), zap.Duration("listAge", h.lastChoice.ListAge()))
+			zap.Float64("serverLimit", h.gateway.options.Limits.Tracker().Current(h.lastChoice.Server().ID()).Statement().Rate()), zap.Bool("home", h.lastChoice.IsPreferred()), zap.Duration("listAge", h.lastChoice.ListAge()))
 	}
 	if h.refusal != nil {
 		status = h.refusal.status
--- a/hall/serverlimit/tracker.go
+++ b/hall/serverlimit/tracker.go
@@ -46,6 +46,12 @@
 	return t.observations[serverID]
 }
 
+// Limit returns the limit that the server names, in requests per second.
+func (t *Tracker) Limit(serverID string) (rate float64, limited bool) {
+	statement := t.Current(serverID).statement
+	return statement.rate, statement.limited
+}
+
 // IsLimited reports whether the server names a limit.
 func (t *Tracker) IsLimited(serverID string) bool { return t.Current(serverID).statement.limited }
 
