serverlimit: tell other halls the limits that servers name

What callers saw: nothing yet. A hall learns of a limit only by a response of the server or by a call to the hall that keeps the limit, which it makes only if it knows the limit. At the size of the target, 510 halls before a server that gets less than one request a second, each request could come from a hall that has not seen the limit, and none would be counted.

Once a second each hall that knows of limits tells one random hall, at most 64 servers in a message. The number of messages does not depend on the number of halls a hall knows, and there are none while no server names a limit.

TestAllHallsLearnOfLimit is new with the message: a limit that one hall saw, and its end, reach 4, 26 and 510 halls within 30 s, and a hall that starts within 8 s.

--- a/hall/serverlimit/limiter.go
+++ b/hall/serverlimit/limiter.go
@@ -29,6 +29,8 @@
 	// minRate is the rate at which a server with a lower limit still gets requests: only
 	// its responses tell that the limit has changed.
 	minRate = 0.2
+	// maxInformed bounds the observations in one message to another hall.
+	maxInformed = 64
 	// unreachablePeriod is how long a hall that did not answer is not asked again.
 	unreachablePeriod = time.Second
 )
@@ -51,6 +53,7 @@
 // Keeper is the RPC interface of the hall that keeps the limit of a server.
 type Keeper interface {
 	Acquire(ctx context.Context, request *wire.AcquireRequest) (*wire.AcquireReply, error)
+	Inform(ctx context.Context, request *wire.InformRequest) (*wire.Empty, error)
 }
 
 // Limiter keeps the halls together within the limits that backend servers name. The
@@ -181,6 +184,43 @@
 	return reply
 }
 
+// Spread tells one random hall what servers said about their limits, if any server named
+// one. Called every second at each hall, it reaches all halls within a time that grows
+// with the logarithm of their number, also those that do not use these servers yet.
+func (l *Limiter) Spread(ctx context.Context) {
+	halls := l.halls()
+	observations := l.tracker.sample(maxInformed)
+	if len(observations) == 0 || len(halls) < 2 {
+		return
+	}
+	hall := halls[rand.IntN(len(halls))]
+	if hall.Name() == l.ownName || l.isUnreachable(hall.Name()) {
+		return
+	}
+	now := time.Now()
+	request := &wire.InformRequest{Hall: l.ownName, Observations: make(map[string]*wire.LimitObservation, len(observations))}
+	for serverID, observation := range observations {
+		request.Observations[serverID] = encodeObservation(now, observation)
+	}
+	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	if _, err := l.client(hall.Address()).Inform(ctx, request); err != nil {
+		l.failed.Add(1)
+		if ctx.Err() != context.Canceled {
+			l.markUnreachable(hall.Name(), time.Now(), err)
+		}
+	}
+}
+
+// Inform records what another hall knows of the limits of servers.
+func (l *Limiter) Inform(request *wire.InformRequest) {
+	now := time.Now()
+	l.lastContact.Store(now.UnixNano())
+	for serverID, observation := range request.GetObservations() {
+		l.tracker.Observe(now, serverID, decodeObservation(now, observation))
+	}
+}
+
 // Retain removes the state of servers for which keep returns false.
 func (l *Limiter) Retain(keep func(serverID string) bool) {
 	l.tracker.Retain(keep)
--- a/hall/serverlimit/serverlimit_test.go
+++ b/hall/serverlimit/serverlimit_test.go
@@ -160,6 +160,62 @@
 	return reply, nil
 }
 
+// Inform implements serverlimit.Keeper.
+func (k keeper) Inform(_ context.Context, request *wire.InformRequest) (*wire.Empty, error) {
+	time.Sleep(messageDelay)
+	k.cluster.limiter(k.name).Inform(request)
+	return &wire.Empty{}, nil
+}
+
+// TestAllHallsLearnOfLimit guards against a server that gets its first request from each
+// of many halls because they have not seen its limit: a limit that one hall saw, and its
+// end, must reach all halls in seconds, and a hall that starts must learn of it.
+func TestAllHallsLearnOfLimit(t *testing.T) {
+	for _, halls := range []int{4, 26, 510} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(halls)
+			spread := func(duration time.Duration) {
+				for end := time.Now().Add(duration); time.Now().Before(end); {
+					var group sync.WaitGroup
+					for _, member := range c.halls() {
+						group.Go(func() { c.limiter(member.Name()).Spread(t.Context()) })
+					}
+					time.Sleep(time.Second)
+					group.Wait()
+				}
+			}
+			countLimited := func() int {
+				count := 0
+				for _, member := range c.halls() {
+					if c.limiter(member.Name()).Tracker().IsLimited(serverID) {
+						count++
+					}
+				}
+				return count
+			}
+			observe := func(statement serverlimit.Statement) {
+				now := time.Now()
+				c.limiter("hall-0").Tracker().Observe(now, serverID, serverlimit.NewObservation(statement, now, now))
+			}
+			observe(serverlimit.Limited(1))
+			spread(30 * time.Second)
+			if got := countLimited(); got != halls {
+				t.Errorf("halls that know the limit after 30 s: got %d, want %d", got, halls)
+			}
+			c.add("hall-new")
+			spread(8 * time.Second)
+			if !c.limiter("hall-new").Tracker().IsLimited(serverID) {
+				t.Errorf("hall that started 8 s ago among %d: does not know the limit, want it to", halls)
+			}
+			observe(serverlimit.Unlimited())
+			spread(30 * time.Second)
+			if got := countLimited(); got != 0 {
+				t.Errorf("halls of %d that keep to a limit 30 s after its end: got %d, want 0", halls, got)
+			}
+		})
+	}
+}
+
 // TestLimitHoldsForAnyNumberOfHalls guards against a limit that is divided among halls
 // until a part is below one request: the halls together must keep to it, and use it, at
 // one call for a request.
--- a/hall/serverlimit/tracker.go
+++ b/hall/serverlimit/tracker.go
@@ -66,6 +66,20 @@
 	}
 }
 
+// sample returns up to n observations, which differ from call to call.
+func (t *Tracker) sample(n int) map[string]Observation {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	sample := make(map[string]Observation, min(n, len(t.observations)))
+	for serverID, observation := range t.observations { // The order is random.
+		if len(sample) == n {
+			break
+		}
+		sample[serverID] = observation
+	}
+	return sample
+}
+
 func (t *Tracker) isKnown(serverID string) bool {
 	t.mutex.RLock()
 	defer t.mutex.RUnlock()
