gateway: log the software version of servers and which stream a caller takes up

Callers got streams of two software versions. The logs did not tell the version of a server, nor which attempt a request takes up, so a stream continued within a response and one taken up by the caller could not be told apart.

The line of a request and 'stream interrupted' now have the server's version; a request that takes up a stream has the attempt (resumes) and its last event.

--- a/hall/gateway/metrics.go
+++ b/hall/gateway/metrics.go
@@ -64,8 +64,11 @@
 	if h.request.PreviousTurn != "" {
 		fields = append(fields, zap.String("previous", h.request.PreviousTurn))
 	}
+	if h.request.Resumes != "" || h.request.LastEventID != "" {
+		fields = append(fields, zap.String("resumes", h.request.Resumes), zap.String("lastEvent", h.request.LastEventID))
+	}
 	if h.lastChoice != nil {
-		fields = append(fields, zap.String("server", h.lastChoice.Server().ID()), zap.Duration("cost", h.lastChoice.ExpectedDelay()),
+		fields = append(fields, zap.String("server", h.lastChoice.Server().ID()), zap.String("version", h.lastChoice.Server().Version()), zap.Duration("cost", h.lastChoice.ExpectedDelay()),
 			zap.Float64("serverLimit", h.gateway.options.Limits.Tracker().Current(h.lastChoice.Server().ID()).Statement().Rate()), zap.Bool("home", h.lastChoice.IsPreferred()), zap.Duration("listAge", h.lastChoice.ListAge()))
 	}
 	if h.refusal != nil {
--- a/hall/gateway/request.go
+++ b/hall/gateway/request.go
@@ -36,6 +36,11 @@
 	MaxTokens int64
 	// PreviousTurn is the ID of the turn that this one continues, empty for none.
 	PreviousTurn string
+	// Resumes is the ID of the attempt that brought the first event of the stream that
+	// the caller takes up, empty if it takes up none.
+	Resumes string
+	// LastEventID is the ID of the last event that the caller has, empty for none.
+	LastEventID string
 }
 
 // BackendRequest is a request as it is sent to a backend server.
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -88,7 +88,7 @@
 	}
 	resumable := h.route.Resumable && serverFailed
 	h.gateway.options.Logger.Info("stream interrupted", zap.String("requestId", h.request.ID),
-		zap.String("server", h.lastChoice.Server().ID()), zap.Int64("events", progress.events), zap.String("lastEvent", progress.lastEventID),
+		zap.String("server", h.lastChoice.Server().ID()), zap.String("version", h.lastChoice.Server().Version()), zap.Int64("events", progress.events), zap.String("lastEvent", progress.lastEventID),
 		zap.Bool("resumable", resumable), zap.Error(cause))
 	if !resumable {
 		return nil
--- a/kernel/backend/backend.go
+++ b/kernel/backend/backend.go
@@ -22,6 +22,7 @@
 	address          string
 	zone             string
 	service          string
+	version          string
 	slots            int
 	draining         bool
 	coldUntil        time.Time
@@ -36,6 +37,9 @@
 	Address string
 	Zone    string
 	Service string
+	// Version is the version of the server's software. What two versions write in one
+	// stream does not fit together.
+	Version string
 	// Slots is the number of requests that the server processes concurrently; zero
 	// means unknown.
 	Slots    int
@@ -51,7 +55,7 @@
 // NewServer returns a Server with these options.
 func NewServer(options Options) Server {
 	return Server{
-		id: options.ID, address: options.Address, zone: options.Zone, service: options.Service,
+		id: options.ID, address: options.Address, zone: options.Zone, service: options.Service, version: options.Version,
 		slots: options.Slots, draining: options.Draining, coldUntil: options.ColdUntil, startedUnixMilli: options.Born,
 	}
 }
@@ -68,6 +72,9 @@
 // Service returns the service that the server belongs to.
 func (s Server) Service() string { return s.service }
 
+// Version returns the version of the server's software, empty if it states none.
+func (s Server) Version() string { return s.version }
+
 // Slots returns the number of requests that the server processes concurrently; zero
 // means unknown.
 func (s Server) Slots() int { return s.slots }
