gateway: continue a stream only at the software version that began it

Cause: nothing knew a server's version. discovery dropped it, a hall continued an interrupted stream at any server of the service, and a request that takes up a stream went to any server, whichever hall had begun it.

Why this works: a resumable stream gets its version before it runs and is sent to servers of that version alone. The version is written with the turn's reservation on a quorum of keepers, in the same call, before the first event; whichever hall gets the rest of the stream reads it from a quorum with its own reservation. What no keeper knows is refused.

TestVersionOfStreamIsKept: a keeper keeps the version over a restart, a settlement and a copy to another keeper.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -68,6 +68,8 @@
 	AffinityKey string
 	// Tried lists the IDs of servers to skip.
 	Tried map[string]bool
+	// Version restricts the choice to servers of this software version, unless it is nil.
+	Version *string
 	// Limit returns the limit that a server names, in requests per second. It is nil if
 	// no server names one.
 	Limit func(serverID string) (rate float64, limited bool)
@@ -199,6 +201,32 @@
 	return &best, nil
 }
 
+// PreferredVersion returns the software version of the server that Choose would select.
+func (b *Balancer) PreferredVersion(now time.Time, query Query) (string, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	best, err := b.selectServer(now, query)
+	if err != nil {
+		return "", err
+	}
+	return best.server.Version(), nil
+}
+
+// OnlyVersion returns the software version of the servers of a service that accept
+// requests, and false if they have several, or if there are none.
+func (b *Balancer) OnlyVersion(service string) (string, bool) {
+	usable := b.directory.List().Usable(service)
+	for _, server := range usable {
+		if server.Version() != usable[0].Version() {
+			return "", false
+		}
+	}
+	if len(usable) == 0 {
+		return "", false
+	}
+	return usable[0].Version(), true
+}
+
 // CheckLimits returns a *NoServerError if no server can accept the request now because
 // of the limits that servers name.
 func (b *Balancer) CheckLimits(now time.Time, query Query) error {
@@ -222,7 +250,7 @@
 	noServer := &NoServerError{service: query.Service.Name, usable: len(usable)}
 	var limited []Choice
 	for _, server := range usable {
-		if query.Tried[server.ID()] {
+		if query.Tried[server.ID()] || (query.Version != nil && server.Version() != *query.Version) {
 			continue
 		}
 		state := b.stateOf(server)
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -59,6 +59,8 @@
 	// maxLimitRefusals is after how many refusals because of the limits of servers a
 	// request goes to a server without one, or is refused.
 	maxLimitRefusals = 4
+	// minVersionRetention is how long the version of a resumable stream is kept at least.
+	minVersionRetention = 30 * time.Second
 	// knownProgramsSize bounds the LRU cache of programs that have begun.
 	knownProgramsSize = 8192
 )
@@ -157,7 +159,8 @@
 	service     *catalog.Service
 	turn        *turns.ActiveTurn
 	body        []byte
-	affinityKey string // Same for requests that share a history; empty for none.
+	version     *string // Software version of the servers of a resumable stream.
+	affinityKey string  // Same for requests that share a history; empty for none.
 	deadline    time.Time
 
 	admission      ratelimit.Admission
@@ -298,38 +301,52 @@
 	h.deadline = h.request.Received.Add(timeout)
 }
 
-// beginTurn reserves the turn's tokens and prepends its history to the body.
+// beginTurn reserves the turn's tokens and prepends its history to the body. For a stream
+// that may be resumed it also records, or looks up, the version of its servers.
 func (h *requestHandler) beginTurn(ctx context.Context) *Refusal {
 	h.body = h.request.Body
-	if h.route.Kind != catalog.KindStream || h.request.Program == "" {
+	if h.route.Kind != catalog.KindStream {
 		return nil
 	}
-	workspace := ""
-	if h.workspace != nil {
-		workspace = h.workspace.Name
-	}
-	previous := ""
-	if h.route.KeepsHistory {
-		previous = h.request.PreviousTurn
+	if refusal := h.selectVersion(); refusal != nil {
+		return refusal
 	}
-	if h.request.Budget <= 0 && !h.route.KeepsHistory {
+	hasTurn := h.request.Program != "" && (h.request.Budget > 0 || h.route.KeepsHistory)
+	if !hasTurn && !h.route.Resumable {
 		return nil
 	}
+	turn := turns.Turn{
+		ID: h.request.ID, Program: h.streamProgram(), Workspace: h.workspaceName(), MaxTokens: h.request.MaxTokens, Retention: h.route.Retention,
+	}
+	if hasTurn {
+		turn.Budget = h.request.Budget
+	}
+	if hasTurn && h.route.KeepsHistory {
+		turn.Previous = h.request.PreviousTurn
+	}
+	if h.route.Resumable {
+		turn.ServerVersion, turn.Resumes = h.version, h.request.Resumes
+		turn.Retention = max(turn.Retention, minVersionRetention)
+	}
 	start := time.Now()
-	turn, err := h.gateway.options.Turns.Begin(ctx, turns.Turn{
-		ID: h.request.ID, Program: h.request.Program, Workspace: workspace, Budget: h.request.Budget,
-		MaxTokens: h.request.MaxTokens, Previous: previous, Retention: h.route.Retention,
-	})
+	active, err := h.gateway.options.Turns.Begin(ctx, turn)
 	h.beginDuration = time.Since(start)
-	if err != nil {
+	switch {
+	case err != nil && !hasTurn && turn.Resumes == "":
+		// The stream can run, but it can't be taken up later.
+		h.gateway.options.Logger.Warn("version of a stream not recorded", zap.String("requestId", h.request.ID), zap.Error(err))
+		return nil
+	case err != nil:
 		return turnRefusal(err)
 	}
-	h.turn = turn
-	h.affinityKey = turn.Placement()
-	if history := turn.History(); len(history) > 0 {
+	h.turn = active
+	if hasTurn {
+		h.affinityKey = active.Placement()
+	}
+	if history := active.History(); len(history) > 0 {
 		h.body = joinHistory(history, h.request.Body)
 	}
-	return nil
+	return h.applyResumedVersion(active)
 }
 
 func turnRefusal(err error) *Refusal {
--- a/hall/gateway/limit.go
+++ b/hall/gateway/limit.go
@@ -22,7 +22,7 @@
 		maxWait = -newProgramReserve
 	}
 	return balance.Query{
-		Service: h.service, AffinityKey: h.affinityKey, Tried: h.tried,
+		Service: h.service, AffinityKey: h.affinityKey, Tried: h.tried, Version: h.version,
 		Limit: h.gateway.options.Limits.Tracker().Limit, MaxWait: maxWait,
 		SkipLimited: h.limitRefusals >= maxLimitRefusals,
 	}
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -63,6 +63,17 @@
 	Previous string
 	// Retention is how long the turn and the program's budget are kept.
 	Retention time.Duration
+	// ServerVersion is the software version of the backend servers at which the turn's
+	// stream will run, nil if it need not be known later.
+	ServerVersion *string
+	// Resumes is the ID of the turn whose stream this turn takes up, empty if it takes
+	// up none.
+	Resumes string
+}
+
+// needsReservation reports whether the turn is recorded before it runs.
+func (t Turn) needsReservation() bool {
+	return t.Budget > 0 || t.ServerVersion != nil || t.Resumes != ""
 }
 
 // ActiveTurn is a turn that was admitted and may run.
@@ -72,6 +83,7 @@
 	placement  string
 	history    [][]byte
 	settleOnce sync.Once
+	resumed    *string // Version of the turn that this one takes up, nil if unknown.
 }
 
 // History returns the inputs and outputs that the turn continues, the oldest
@@ -81,6 +93,15 @@
 // Placement returns the placement key, which all turns of one chain share.
 func (t *ActiveTurn) Placement() string { return t.placement }
 
+// ResumedVersion returns the software version of the backend servers at which the stream
+// that the turn takes up began. It is not known if no keeper has a record of it.
+func (t *ActiveTurn) ResumedVersion() (version string, known bool) {
+	if t.resumed == nil {
+		return "", false
+	}
+	return *t.resumed, true
+}
+
 // BudgetExhaustedError reports that the program's budget does not cover the turn.
 type BudgetExhaustedError struct {
 	spent  int64
@@ -177,7 +198,7 @@
 	}
 	programKey := turn.Workspace + "/" + turn.Program
 	active := &ActiveTurn{turn: turn, programKey: programKey, placement: programKey}
-	if turn.Budget > 0 {
+	if turn.needsReservation() {
 		if err := c.reserve(ctx, active); err != nil {
 			return nil, err
 		}
@@ -280,7 +301,7 @@
 	request := &wire.BeginTurnRequest{
 		Reservation: active.reservation(turn.MaxTokens, false), Budget: turn.Budget,
 		Workspace: turn.Workspace, Previous: turn.Previous, WantHistory: turn.Previous != "",
-		Keepers: c.keepers.List().ToWire(false),
+		Keepers: c.keepers.List().ToWire(false), Resumes: turn.Resumes,
 	}
 	call := c.callReplicas(ctx, active.programKey, func(ctx context.Context, keeper wire.Keeper) (any, error) {
 		reply, err := keeper.Begin(ctx, request)
@@ -311,6 +332,9 @@
 			call.callAnother()
 		}
 		active.setHistory(reply.GetHistory())
+		if reply.ResumedVersion != nil {
+			active.resumed = reply.ResumedVersion
+		}
 		if admitted == c.rule.Quorum() || exhausted == c.rule.Quorum() {
 			call.stop()
 			break
@@ -410,11 +434,11 @@
 }
 
 func (t *ActiveTurn) reservation(tokens int64, settled bool) *wire.Reservation {
-	if t.turn.Budget <= 0 {
+	if !t.turn.needsReservation() {
 		return nil
 	}
 	return &wire.Reservation{
-		Program: t.programKey, Turn: t.turn.ID, Tokens: tokens, Settled: settled,
+		Program: t.programKey, Turn: t.turn.ID, Tokens: tokens, Settled: settled, ServerVersion: t.turn.ServerVersion,
 		ExpiresUnixMilliseconds: time.Now().Add(2 * t.turn.Retention).UnixMilli(),
 	}
 }
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -55,6 +55,7 @@
 type reservationEntry struct {
 	tokens  int64
 	settled bool
+	version *string   // Software version of the turn's backend servers, nil if unknown.
 	expires time.Time // Of the record on disk.
 }
 
@@ -136,8 +137,8 @@
 	if !l.Ready() || l.isPending(request.GetReservation().GetProgram()) {
 		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY}, nil
 	}
-	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED}
-	if request.GetBudget() > 0 {
+	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED, ResumedVersion: l.versionOf(request.GetReservation().GetProgram(), request.GetResumes())}
+	if request.GetReservation() != nil {
 		spent, admitted, records := l.reserve(now, request)
 		reply.SpentTokens = spent
 		if !admitted {
@@ -218,7 +219,15 @@
 	return l.archive.Expire(now)
 }
 
-// reserve adds the reservation if it fits into the budget. The program's other
+// versionOf returns the software version of the backend servers at which a turn ran, nil
+// if it is unknown.
+func (l *Ledger) versionOf(program, turn string) *string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.programs[program][turn].version
+}
+
+// reserve adds the reservation if it fits into the budget, if any. The program's other
 // reservations are then extended to expire no earlier than this one.
 func (l *Ledger) reserve(now time.Time, request *wire.BeginTurnRequest) (spent int64, admitted bool, records []archive.Record) {
 	l.mutex.Lock()
@@ -230,7 +239,7 @@
 			spent += entry.tokens
 		}
 	}
-	if spent+reservation.GetTokens() > request.GetBudget() {
+	if request.GetBudget() > 0 && spent+reservation.GetTokens() > request.GetBudget() {
 		return spent, false, nil
 	}
 	records = l.putReservation(reservation)
@@ -260,6 +269,9 @@
 	if !found {
 		entry.expires = time.UnixMilli(reservation.GetExpiresUnixMilliseconds())
 	}
+	if entry.version == nil {
+		entry.version = reservation.ServerVersion
+	}
 	entry.tokens = reservation.GetTokens()
 	entry.settled = reservation.GetSettled()
 	entries[reservation.GetTurn()] = entry
@@ -379,6 +391,9 @@
 	if !entry.settled {
 		entry.tokens, entry.settled = reservation.GetTokens(), reservation.GetSettled()
 	}
+	if entry.version == nil {
+		entry.version = reservation.ServerVersion
+	}
 	entry.expires = expires
 	entries[reservation.GetTurn()] = entry
 }
--- a/keeper/ledger/ledger_test.go
+++ b/keeper/ledger/ledger_test.go
@@ -269,3 +269,55 @@
 		t.Errorf("parts of the copied history: got %d, want %d", got, want)
 	}
 }
+
+// TestVersionOfStreamIsKept guards against a stream that is taken up at another software
+// version because a keeper has lost the version that began it: by a restart, by the
+// settlement of the reservation, or as its records are copied to another keeper.
+func TestVersionOfStreamIsKept(t *testing.T) {
+	dir := t.TempDir()
+	l, disk := openLedger(t, dir)
+	if err := l.SetReady(true); err != nil {
+		t.Fatal(err)
+	}
+	resumedVersion := func(l *ledger.Ledger, resumes string) string {
+		t.Helper()
+		reply, err := l.Begin(time.Now(), &wire.BeginTurnRequest{Reservation: newReservation("later "+resumes, 1, false), Budget: 100, Workspace: "w", Resumes: resumes})
+		switch {
+		case err != nil:
+			t.Fatalf("begin: %v", err)
+		case reply.ResumedVersion == nil:
+			return "unknown"
+		}
+		return reply.GetResumedVersion()
+	}
+	for turn, version := range map[string]string{"first": "v1", "second": ""} {
+		reservation := newReservation(turn, 10, false)
+		reservation.ServerVersion = &version
+		if _, err := l.Begin(time.Now(), &wire.BeginTurnRequest{Reservation: reservation, Budget: 100, Workspace: "w"}); err != nil {
+			t.Fatalf("begin %s: %v", turn, err)
+		}
+	}
+	if err := l.Finish(time.Now(), &wire.FinishTurnRequest{Reservation: newReservation("first", 5, true)}); err != nil {
+		t.Fatalf("settle: %v", err)
+	}
+	page, err := l.Page(nil, func(string) bool { return true })
+	if err != nil {
+		t.Fatalf("page: %v", err)
+	}
+	copied := newReadyLedger(t)
+	if err := copied.Merge(time.Now(), page); err != nil {
+		t.Fatalf("merge: %v", err)
+	}
+	if err := disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	reopened, disk := openLedger(t, dir)
+	defer func() { _ = disk.Close() }()
+	for name, l := range map[string]*ledger.Ledger{"restarted keeper": reopened, "keeper with the copy": copied} {
+		for turn, want := range map[string]string{"first": "v1", "second": "", "third": "unknown"} {
+			if got := resumedVersion(l, turn); got != want {
+				t.Errorf("%s: version of %s: got %q, want %q", name, turn, got, want)
+			}
+		}
+	}
+}
--- a/keeper/ledger/record.go
+++ b/keeper/ledger/record.go
@@ -68,7 +68,7 @@
 // encodeReservation returns the record of a reservation.
 func encodeReservation(program, turn string, entry reservationEntry) archive.Record {
 	value, err := proto.Marshal(&wire.Reservation{
-		Program: program, Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ExpiresUnixMilliseconds: entry.expires.UnixMilli(),
+		Program: program, Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version, ExpiresUnixMilliseconds: entry.expires.UnixMilli(),
 	})
 	if err != nil {
 		// Strings that are not valid UTF-8 are rejected before they get here.
