balance: look for the version of a stream only where a service has several

Each new resumable stream compared all servers once more for its version. The list of servers now knows whether a service has several.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -203,6 +203,9 @@
 
 // PreferredVersion returns the software version of the server that Choose would select.
 func (b *Balancer) PreferredVersion(now time.Time, query Query) (string, error) {
+	if version, found := b.OnlyVersion(query.Service.Name); found {
+		return version, nil
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	best, err := b.selectServer(now, query)
@@ -213,18 +216,9 @@
 }
 
 // OnlyVersion returns the software version of the servers of a service that accept
-// requests, and false if they have several, or if there are none.
+// requests, and false if they have several or there are none.
 func (b *Balancer) OnlyVersion(service string) (string, bool) {
-	usable := b.directory.List().Usable(service)
-	for _, server := range usable {
-		if server.Version() != usable[0].Version() {
-			return "", false
-		}
-	}
-	if len(usable) == 0 {
-		return "", false
-	}
-	return usable[0].Version(), true
+	return b.directory.List().OnlyVersion(service)
 }
 
 // CheckLimits returns a *NoServerError if no server can accept the request now because
--- a/kernel/backend/backend.go
+++ b/kernel/backend/backend.go
@@ -95,17 +95,21 @@
 	readAt   time.Time
 	byID     map[string]Server
 	usable   map[string][]Server
+	mixed    map[string]bool // Services whose usable servers have several versions.
 }
 
 // NewList returns a list of servers as of a store revision; readAt is when the list
 // was last known to be current. Draining servers and servers in excludedZones are
 // known but not usable.
 func NewList(revision uint64, readAt time.Time, servers []Server, excludedZones map[string]bool) *List {
-	l := &List{revision: revision, readAt: readAt, byID: make(map[string]Server, len(servers)), usable: make(map[string][]Server)}
+	l := &List{revision: revision, readAt: readAt, byID: make(map[string]Server, len(servers)), usable: make(map[string][]Server), mixed: make(map[string]bool)}
 	for _, server := range servers {
 		l.byID[server.id] = server
 		if !server.draining && !excludedZones[server.zone] {
 			l.usable[server.service] = append(l.usable[server.service], server)
+			if server.version != l.usable[server.service][0].version {
+				l.mixed[server.service] = true
+			}
 		}
 	}
 	for _, usable := range l.usable {
@@ -127,6 +131,16 @@
 // The caller must not modify the slice.
 func (l *List) Usable(service string) []Server { return l.usable[service] }
 
+// OnlyVersion returns the software version of the usable servers of a service, and false
+// if they have several or there are none.
+func (l *List) OnlyVersion(service string) (string, bool) {
+	usable := l.usable[service]
+	if len(usable) == 0 || l.mixed[service] {
+		return "", false
+	}
+	return usable[0].version, true
+}
+
 // Lookup returns the known server with this ID, whether usable or not.
 func (l *List) Lookup(id string) (Server, bool) {
 	server, found := l.byID[id]
