--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -224,6 +224,9 @@
 // CheckLimits returns a *NoServerError if no server can accept the request now because
 // of the limits that servers name.
 func (b *Balancer) CheckLimits(now time.Time, query Query) error {
+	if query.Limit == nil {
+		return nil
+	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	_, err := b.selectServer(now, query)
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -107,12 +107,14 @@
 
 // fakeAdmitter admits every request, or none if err is set.
 type fakeAdmitter struct {
-	err     error
-	refunds int
+	err        error
+	refunds    int
+	priorities []ratelimit.Priority
 }
 
 // Admit implements gateway.Admitter.
-func (a *fakeAdmitter) Admit(context.Context, string, ratelimit.Priority) (ratelimit.Admission, error) {
+func (a *fakeAdmitter) Admit(_ context.Context, _ string, priority ratelimit.Priority) (ratelimit.Admission, error) {
+	a.priorities = append(a.priorities, priority)
 	return ratelimit.Admission{}, a.err
 }
 
@@ -151,6 +153,7 @@
 	admitter     *fakeAdmitter
 	turns        *fakeTurnStore
 	crashTracker *fakeCrashTracker
+	limits       *serverlimit.Limiter
 	gateway      *gateway.Gateway
 }
 
@@ -179,8 +182,9 @@
 		servers = append(servers, backend.NewServer(backend.Options{ID: fmt.Sprintf("server-%d", index), Zone: "a", Service: "models", Slots: 8}))
 	}
 	directory.Publish(backend.NewList(1, time.Now(), servers, nil))
+	f.limits = serverlimit.New("hall-0", func() []host.Member { return nil }, nil, serverlimit.NewTracker(zap.NewNop()), zap.NewNop())
 	f.gateway = gateway.New(gateway.Options{
-		Limits:  serverlimit.New("hall-0", func() []host.Member { return nil }, nil, serverlimit.NewTracker(zap.NewNop()), zap.NewNop()),
+		Limits:  f.limits,
 		Catalog: func() *catalog.Catalog { return current }, Admitter: f.admitter, Turns: f.turns, Balancer: balancer,
 		Backend: f.backend, Crashes: f.crashTracker, HallCount: func() int { return 1 }, Logger: zap.NewNop(),
 	})
@@ -405,3 +409,43 @@
 		})
 	}
 }
+
+// TestRefusedProgramIsNotRunning guards against programs whose first request is refused
+// because of the limits of servers and that then go before new programs, although no
+// work of theirs would be lost.
+func TestRefusedProgramIsNotRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(cannedResponse{status: 200, stream: true, body: "id: 1\ndata: x\n\n"})
+		now := time.Now()
+		for index := range 4 {
+			f.limits.Tracker().Observe(now, fmt.Sprintf("server-%d", index), serverlimit.NewObservation(serverlimit.Limited(1), now, now))
+		}
+		wantRefusal := func(description string) {
+			t.Helper()
+			recorder, _ := f.send("/resumable/", nil)
+			if recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") == "" {
+				t.Errorf("%s: got status %d, Retry-After %q, want 503 with one", description, recorder.Code, recorder.Header().Get("Retry-After"))
+			}
+		}
+		wantRefusal("program while the limits were used until now")
+		if f.admitter.refunds != 1 {
+			t.Errorf("refunded tokens of the workspace: got %d, want 1", f.admitter.refunds)
+		}
+		wantRefusal("program again, at once")
+		if got := len(f.admitter.priorities); got != 1 {
+			t.Errorf("tokens of the workspace asked for: got %d, want 1, as the second request is refused before", got)
+		}
+		time.Sleep(2 * time.Second)
+		if recorder, _ := f.send("/resumable/", nil); recorder.Code != http.StatusOK {
+			t.Errorf("program once the limits were unused for a time: got status %d, want 200", recorder.Code)
+		}
+		if recorder, _ := f.send("/resumable/", nil); recorder.Code != http.StatusOK {
+			t.Errorf("second request of the program: got status %d, want 200", recorder.Code)
+		}
+		for number, want := range []ratelimit.Priority{ratelimit.NewProgram, ratelimit.NewProgram, ratelimit.RunningProgram} {
+			if got := f.admitter.priorities[number]; got != want {
+				t.Errorf("priority of admitted request %d: got %d, want %d", number, got, want)
+			}
+		}
+	})
+}
--- a/hall/gateway/limit.go
+++ b/hall/gateway/limit.go
@@ -21,11 +21,14 @@
 	if h.rank == ratelimit.NewProgram && h.possibleRuns == 0 {
 		maxWait = -newProgramReserve
 	}
-	return balance.Query{
+	query := balance.Query{
 		Service: h.service, AffinityKey: h.affinityKey, Tried: h.tried, Version: h.version,
-		Limit: h.gateway.options.Limits.Tracker().Limit, MaxWait: maxWait,
-		SkipLimited: h.limitRefusals >= maxLimitRefusals,
+		MaxWait: maxWait, SkipLimited: h.limitRefusals >= maxLimitRefusals,
 	}
+	if tracker := h.gateway.options.Limits.Tracker(); tracker.LimitedServers() > 0 {
+		query.Limit = tracker.Limit
+	}
+	return query
 }
 
 // awaitLimit waits until the request may be sent to the chosen server, which names a
--- a/hall/serverlimit/serverlimit_test.go
+++ b/hall/serverlimit/serverlimit_test.go
@@ -89,6 +89,11 @@
 	return c.silent[name]
 }
 
+func (c *cluster) isLimited(name string) bool {
+	_, limited := c.limiter(name).Tracker().Limit(serverID)
+	return limited
+}
+
 // nameLimit makes each hall see a response that names the rate.
 func (c *cluster) nameLimit(statement serverlimit.Statement) {
 	for _, member := range c.halls() {
@@ -187,7 +192,7 @@
 			countLimited := func() int {
 				count := 0
 				for _, member := range c.halls() {
-					if c.limiter(member.Name()).Tracker().IsLimited(serverID) {
+					if c.isLimited(member.Name()) {
 						count++
 					}
 				}
@@ -204,7 +209,7 @@
 			}
 			c.add("hall-new")
 			spread(8 * time.Second)
-			if !c.limiter("hall-new").Tracker().IsLimited(serverID) {
+			if !c.isLimited("hall-new") {
 				t.Errorf("hall that started 8 s ago among %d: does not know the limit, want it to", halls)
 			}
 			observe(serverlimit.Unlimited())
@@ -279,7 +284,7 @@
 				if c.isSilent(name) || c.limiter(name) == nil {
 					continue
 				}
-				if !c.limiter(name).Tracker().IsLimited(serverID) {
+				if !c.isLimited(name) {
 					now := time.Now() // A hall that has just started sends once and sees the limit.
 					c.limiter(name).Tracker().Observe(now, serverID, serverlimit.NewObservation(serverlimit.Limited(rate), now, now))
 					continue
@@ -363,7 +368,7 @@
 			if _, err := c.limiter(member.Name()).Acquire(t.Context(), serverID, 0); err != nil {
 				t.Errorf("%s: got %v, want no limit, as %s saw it end", member.Name(), err, keeperName)
 			}
-			if c.limiter(member.Name()).Tracker().IsLimited(serverID) {
+			if c.isLimited(member.Name()) {
 				t.Errorf("%s: got a limit after %s told that it ended, want none", member.Name(), keeperName)
 			}
 		}
--- a/hall/serverlimit/tracker.go
+++ b/hall/serverlimit/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,8 @@
 type Tracker struct {
 	logger *zap.Logger
 
+	limited atomic.Int64 // Number of servers that name a limit.
+
 	mutex        sync.RWMutex
 	observations map[string]Observation // By server ID.
 }
@@ -32,6 +35,7 @@
 	previous := t.observations[serverID]
 	current := previous.merge(observation)
 	t.observations[serverID] = current
+	t.limited.Add(limitedCount(current) - limitedCount(previous))
 	if current.statement != previous.statement {
 		t.logger.Info("limit of a backend server changed", zap.String("server", serverID), zap.Bool("limited", current.statement.limited),
 			zap.Float64("requestsPerSecond", current.statement.rate), zap.Float64("previous", previous.statement.rate), zap.Duration("age", current.Age(now)))
@@ -52,15 +56,23 @@
 	return statement.rate, statement.limited
 }
 
-// IsLimited reports whether the server names a limit.
-func (t *Tracker) IsLimited(serverID string) bool { return t.Current(serverID).statement.limited }
+// LimitedServers returns the number of servers that name a limit.
+func (t *Tracker) LimitedServers() int64 { return t.limited.Load() }
+
+func limitedCount(observation Observation) int64 {
+	if observation.statement.limited {
+		return 1
+	}
+	return 0
+}
 
 // Retain removes the observations of servers for which keep returns false.
 func (t *Tracker) Retain(keep func(serverID string) bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for serverID := range t.observations {
+	for serverID, observation := range t.observations {
 		if !keep(serverID) {
+			t.limited.Add(-limitedCount(observation))
 			delete(t.observations, serverID)
 		}
 	}
