--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 # Runs the benchmarks of the cost of one hall, limpet, program, workspace or change.
 # See docs/CAPACITY.md.
 capacity:
-	@for module in kernel standin; do (cd $$module && $(GO) test -run "^$$" -bench "Slope|Added|Requests|Take" -benchmem ./...) | grep -v "no test files" || exit 1; done
+	@for module in kernel hall standin; do (cd $$module && $(GO) test -run "^$$" -bench "Slope|Added|Requests|Take" -benchmem ./...) | grep -v "no test files" || exit 1; done
 
 bench:
 	@for module in $(MODULES); do (cd $$module && $(GO) test -run '^$$' -bench . -benchmem ./...) || exit 1; done
--- a/hall/serverlimit/limiter.go
+++ b/hall/serverlimit/limiter.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// maxCandidates is how many halls, in the order of rendezvous hashing, may keep the
+	// maxCandidates is how many halls, in the order of rendezvous hashing, may own the
 	// limit of a server. Halls that do not answer are passed over.
 	maxCandidates = 8
 	// maxCalls is how many of them are called for one request.
@@ -30,7 +30,7 @@
 	// its responses tell that the limit has changed.
 	minRate = 0.2
 	// maxInformed bounds the observations in one message to another hall.
-	maxInformed = 64
+	maxInformed = 32
 	// unreachablePeriod is how long a hall that did not answer is not asked again.
 	unreachablePeriod = time.Second
 )
@@ -50,16 +50,16 @@
 // RetryAfter returns how long not to ask for this server again.
 func (e *ExceededError) RetryAfter() time.Duration { return e.retryAfter }
 
-// Keeper is the RPC interface of the hall that keeps the limit of a server.
-type Keeper interface {
+// Peer is the RPC interface of another hall.
+type Peer interface {
 	Acquire(ctx context.Context, request *wire.AcquireRequest) (*wire.AcquireReply, error)
 	Inform(ctx context.Context, request *wire.InformRequest) (*wire.Empty, error)
 }
 
-// Limiter keeps the halls together within the limits that backend servers name. The
-// limit of a server is kept at one hall, the first of the halls that answer by rendezvous
-// hashing of the server's ID, so that a limit of one request per second is not divided
-// among halls. A request to a limited server costs one call, at most. Halls tell each
+// Limiter keeps the halls together within the limits that backend servers name. Each
+// limit has an owner that decides about all requests to the server: the first of the
+// halls that answer by rendezvous hashing of the server's ID. So a limit of one request
+// per second is not divided among halls. A request to a limited server costs one call, at most. Halls tell each
 // other with these calls what the server said last.
 //
 // The state is in memory. A hall that takes over from another one starts without a
@@ -67,7 +67,7 @@
 type Limiter struct {
 	ownName string
 	halls   func() []host.Member
-	client  func(address string) Keeper
+	client  func(address string) Peer
 	tracker *Tracker
 	logger  *zap.Logger
 
@@ -78,14 +78,14 @@
 	lastContact atomic.Int64
 
 	mutex       sync.Mutex
-	schedules   map[string]*schedule // By server ID, for the limits that this hall keeps.
+	schedules   map[string]*schedule // By server ID, for the limits that this hall owns.
 	isolated    map[string]*schedule // By server ID, for the part used while no other hall is heard.
 	unreachable map[string]time.Time // By hall, until when it is not asked.
 }
 
 // New returns the Limiter of the hall ownName. halls returns the live halls; client
 // returns an RPC client for the hall at an address.
-func New(ownName string, halls func() []host.Member, client func(address string) Keeper, tracker *Tracker, logger *zap.Logger) *Limiter {
+func New(ownName string, halls func() []host.Member, client func(address string) Peer, tracker *Tracker, logger *zap.Logger) *Limiter {
 	return &Limiter{
 		ownName: ownName, halls: halls, client: client, tracker: tracker, logger: logger,
 		schedules: make(map[string]*schedule), isolated: make(map[string]*schedule), unreachable: make(map[string]time.Time),
@@ -140,7 +140,7 @@
 
 // isInTouch reports whether another hall has answered or called within contactPeriod. If
 // none has, it asks one. A hall that is cut off must not grant itself the whole limit,
-// because the other halls let another one keep it.
+// because the other halls take another one as the owner.
 func (l *Limiter) isInTouch(ctx context.Context, halls []host.Member) bool {
 	if time.Since(time.Unix(0, l.lastContact.Load())) < contactPeriod {
 		return true
@@ -165,7 +165,7 @@
 	return others == 0
 }
 
-// Grant answers a call of another hall for a server whose limit this hall keeps.
+// Grant answers a call of another hall for a server whose limit this hall owns.
 func (l *Limiter) Grant(request *wire.AcquireRequest) *wire.AcquireReply {
 	now := time.Now()
 	l.lastContact.Store(now.UnixNano())
@@ -236,7 +236,7 @@
 }
 
 // ask calls another hall for the permission to send a request to a server whose limit
-// that hall keeps.
+// that hall owns.
 func (l *Limiter) ask(ctx context.Context, hall host.Member, serverID string, maxWait time.Duration, observation Observation) (*wire.AcquireReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
@@ -261,7 +261,7 @@
 	return reply, nil
 }
 
-// reserve takes a request of a limit that this hall keeps.
+// reserve takes a request of a limit that this hall owns.
 func (l *Limiter) reserve(serverID string, rate float64, maxWait time.Duration) (time.Duration, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -303,7 +303,7 @@
 }
 
 func (l *Limiter) markUnreachable(hall string, now time.Time, err error) {
-	l.logger.Info("hall that keeps limits of backend servers does not answer, not asking it for a while",
+	l.logger.Info("hall that owns limits of backend servers does not answer, not asking it for a while",
 		zap.String("hall", hall), zap.Duration("retryAfter", unreachablePeriod), zap.Error(err))
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/hall/serverlimit/schedule.go
+++ b/hall/serverlimit/schedule.go
@@ -18,7 +18,7 @@
 }
 
 // newSchedule returns a schedule whose first request is sent after the delay, without
-// a burst: another hall may have kept the limit until now.
+// a burst: another hall may have owned the limit until now.
 func newSchedule(now time.Time, rate float64, delay time.Duration) *schedule {
 	return &schedule{due: now.Add(tolerance(interval(rate)) + delay)}
 }
--- a/hall/serverlimit/serverlimit_test.go
+++ b/hall/serverlimit/serverlimit_test.go
@@ -55,7 +55,7 @@
 	if c.limiters[name] == nil {
 		c.members = append(slices.Clone(c.members), host.NewHall(name, "zone", name, 1))
 	}
-	c.limiters[name] = serverlimit.New(name, c.halls, func(address string) serverlimit.Keeper { return keeper{cluster: c, name: address} },
+	c.limiters[name] = serverlimit.New(name, c.halls, func(address string) serverlimit.Peer { return peer{cluster: c, name: address} },
 		serverlimit.NewTracker(zap.NewNop()), zap.NewNop())
 }
 
@@ -144,31 +144,31 @@
 	return highest
 }
 
-// keeper calls one hall of the cluster.
-type keeper struct {
+// peer calls one hall of the cluster.
+type peer struct {
 	cluster *cluster
 	name    string
 }
 
-// Acquire implements serverlimit.Keeper.
-func (k keeper) Acquire(ctx context.Context, request *wire.AcquireRequest) (*wire.AcquireReply, error) {
-	k.cluster.mutex.Lock()
-	k.cluster.calls++
-	k.cluster.mutex.Unlock()
-	if k.cluster.isSilent(k.name) || k.cluster.isSilent(request.GetHall()) {
+// Acquire implements serverlimit.Peer.
+func (p peer) Acquire(ctx context.Context, request *wire.AcquireRequest) (*wire.AcquireReply, error) {
+	p.cluster.mutex.Lock()
+	p.cluster.calls++
+	p.cluster.mutex.Unlock()
+	if p.cluster.isSilent(p.name) || p.cluster.isSilent(request.GetHall()) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	time.Sleep(messageDelay)
-	reply := k.cluster.limiter(k.name).Grant(request)
+	reply := p.cluster.limiter(p.name).Grant(request)
 	time.Sleep(messageDelay)
 	return reply, nil
 }
 
-// Inform implements serverlimit.Keeper.
-func (k keeper) Inform(_ context.Context, request *wire.InformRequest) (*wire.Empty, error) {
+// Inform implements serverlimit.Peer.
+func (p peer) Inform(_ context.Context, request *wire.InformRequest) (*wire.Empty, error) {
 	time.Sleep(messageDelay)
-	k.cluster.limiter(k.name).Inform(request)
+	p.cluster.limiter(p.name).Inform(request)
 	return &wire.Empty{}, nil
 }
 
@@ -249,7 +249,7 @@
 }
 
 // TestLimitHoldsWhileHallsChange guards against a server that gets more than its limit
-// while the halls that keep it fall silent, leave and start again.
+// while the halls that own it fall silent, leave and start again.
 func TestLimitHoldsWhileHallsChange(t *testing.T) {
 	const rate = 4.0
 	for seed := range uint64(20) {
@@ -305,8 +305,8 @@
 }
 
 // TestLimitHoldsWithHallsCutOff guards against halls that are cut off from all others and
-// each send as much as the server takes from all. The hall that keeps the limit is among
-// them or not.
+// each send as much as the server takes from all. The owner of the limit is among them or
+// not.
 func TestLimitHoldsWithHallsCutOff(t *testing.T) {
 	const rate = 3.0
 	for _, firstCut := range []int{0, 2} {
@@ -362,14 +362,14 @@
 		c.nameLimit(serverlimit.Limited(1))
 		time.Sleep(time.Second)
 		now := time.Now()
-		keeperName := host.Top(serverID, c.halls(), 1)[0].Name()
-		c.limiter(keeperName).Tracker().Observe(now, serverID, serverlimit.NewObservation(serverlimit.Unlimited(), now, now))
+		ownerName := host.Top(serverID, c.halls(), 1)[0].Name()
+		c.limiter(ownerName).Tracker().Observe(now, serverID, serverlimit.NewObservation(serverlimit.Unlimited(), now, now))
 		for _, member := range c.halls() {
 			if _, err := c.limiter(member.Name()).Acquire(t.Context(), serverID, 0); err != nil {
-				t.Errorf("%s: got %v, want no limit, as %s saw it end", member.Name(), err, keeperName)
+				t.Errorf("%s: got %v, want no limit, as %s saw it end", member.Name(), err, ownerName)
 			}
 			if c.isLimited(member.Name()) {
-				t.Errorf("%s: got a limit after %s told that it ended, want none", member.Name(), keeperName)
+				t.Errorf("%s: got a limit after %s told that it ended, want none", member.Name(), ownerName)
 			}
 		}
 	})
--- a/kernel/wire/wire.twirp.go
+++ b/kernel/wire/wire.twirp.go
@@ -6785,7 +6785,7 @@
 // ======================
 
 // ServerLimits is the API of halls that keep to the limits of backend servers
-// together. Each hall decides for the servers whose limits it keeps.
+// together. Each hall decides for the servers whose limits it owns.
 type ServerLimits interface {
 	// Acquire asks for the permission to send one request to a backend server.
 	Acquire(context.Context, *AcquireRequest) (*AcquireReply, error)
