serverlimit: probe an owner that did not answer, instead of passing it over for a second

What callers saw: nothing. A server whose limit has an owner that is interrupted again and again could get more than the bound.

Cause: a hall that did not get an answer passed the owner over for a second, others did not; for that time two halls decided about the limit.

Why this works: a hall that does not answer is probed every 150 ms and used again with the first answer, and no request waits for it in the meantime.

--- a/hall/serverlimit/limiter.go
+++ b/hall/serverlimit/limiter.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,8 +33,6 @@
 	minRate = 0.2
 	// maxInformed bounds the observations in one message to another hall.
 	maxInformed = 32
-	// unreachablePeriod is how long a hall that did not answer is not asked again.
-	unreachablePeriod = time.Second
 )
 
 // ExceededError reports that a request would exceed the limit of its server.
@@ -80,7 +80,7 @@
 	mutex       sync.Mutex
 	schedules   map[string]*schedule // By server ID, for the limits that this hall owns.
 	isolated    map[string]*schedule // By server ID, for the part used while no other hall is heard.
-	unreachable map[string]time.Time // By hall, until when it is not asked.
+	unreachable map[string]bool      // Halls that did not answer, until a probe is answered.
 }
 
 // New returns the Limiter of the hall ownName. halls returns the live halls; client
@@ -88,7 +88,7 @@
 func New(ownName string, halls func() []host.Member, client func(address string) Peer, tracker *Tracker, logger *zap.Logger) *Limiter {
 	return &Limiter{
 		ownName: ownName, halls: halls, client: client, tracker: tracker, logger: logger,
-		schedules: make(map[string]*schedule), isolated: make(map[string]*schedule), unreachable: make(map[string]time.Time),
+		schedules: make(map[string]*schedule), isolated: make(map[string]*schedule), unreachable: make(map[string]bool),
 	}
 }
 
@@ -207,11 +207,31 @@
 	if _, err := l.client(hall.Address()).Inform(ctx, request); err != nil {
 		l.failed.Add(1)
 		if ctx.Err() != context.Canceled {
-			l.markUnreachable(hall.Name(), time.Now(), err)
+			l.markUnreachable(hall.Name(), err)
 		}
 	}
 }
 
+// Probe asks the halls that did not answer whether they do now. It is called several
+// times a second: while some halls still pass over the owner of a limit that is back, two
+// halls decide about the limit.
+func (l *Limiter) Probe(ctx context.Context) {
+	listed := make(map[string]host.Member)
+	for _, hall := range l.halls() {
+		listed[hall.Name()] = hall
+	}
+	var group sync.WaitGroup
+	for _, name := range l.unreachableHalls() {
+		hall, found := listed[name]
+		if !found {
+			l.markReachable(name) // It is not asked, as it is not on the roster.
+			continue
+		}
+		group.Go(func() { _, _ = l.ask(ctx, hall, "", 0, Observation{}) }) // An error leaves it unreachable.
+	}
+	group.Wait()
+}
+
 // Inform records what another hall knows of the limits of servers.
 func (l *Limiter) Inform(request *wire.InformRequest) {
 	now := time.Now()
@@ -247,11 +267,12 @@
 	if err != nil {
 		l.failed.Add(1)
 		if ctx.Err() != context.Canceled {
-			l.markUnreachable(hall.Name(), now, err)
+			l.markUnreachable(hall.Name(), err)
 		}
 		return nil, err
 	}
 	l.lastContact.Store(now.UnixNano())
+	l.markReachable(hall.Name())
 	l.tracker.Observe(now, serverID, decodeObservation(now, reply.GetObservation()))
 	if reply.GetGranted() {
 		l.granted.Add(1)
@@ -299,15 +320,31 @@
 func (l *Limiter) isUnreachable(hall string) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return time.Now().Before(l.unreachable[hall])
+	return l.unreachable[hall]
+}
+
+func (l *Limiter) unreachableHalls() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Collect(maps.Keys(l.unreachable))
+}
+
+func (l *Limiter) markUnreachable(hall string, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.unreachable[hall] {
+		l.unreachable[hall] = true
+		l.logger.Info("hall that owns limits of backend servers does not answer, passing it over", zap.String("hall", hall), zap.Error(err))
+	}
 }
 
-func (l *Limiter) markUnreachable(hall string, now time.Time, err error) {
-	l.logger.Info("hall that owns limits of backend servers does not answer, not asking it for a while",
-		zap.String("hall", hall), zap.Duration("retryAfter", unreachablePeriod), zap.Error(err))
+func (l *Limiter) markReachable(hall string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.unreachable[hall] = now.Add(unreachablePeriod)
+	if l.unreachable[hall] {
+		delete(l.unreachable, hall)
+		l.logger.Info("hall that owns limits of backend servers answers again", zap.String("hall", hall))
+	}
 }
 
 func microseconds(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
--- a/hall/serverlimit/serverlimit_test.go
+++ b/hall/serverlimit/serverlimit_test.go
@@ -129,6 +129,18 @@
 	group.Wait()
 }
 
+// probe makes all halls probe those that did not answer, as their tasks do.
+func (c *cluster) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, member := range c.halls() {
+			if limiter := c.limiter(member.Name()); limiter != nil && !c.isSilent(member.Name()) {
+				go limiter.Probe(ctx)
+			}
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
 // highest returns the highest number of requests in boundWindow.
 func (c *cluster) highest() int {
 	c.mutex.Lock()
@@ -257,6 +269,7 @@
 			c := newCluster(8)
 			c.nameLimit(serverlimit.Limited(rate))
 			ctx, cancel := context.WithCancel(t.Context())
+			go c.probe(ctx)
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
