--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -164,8 +164,8 @@
 	deadline    time.Time
 
 	admission      ratelimit.Admission
-	rank           ratelimit.Priority
-	admitted       bool // Whether the request holds a token of its workspace's rate limit.
+	rank           ratelimit.Priority // Decided at admission, since the first send makes its program a running one.
+	admitted       bool               // Whether the request holds a token of its workspace's rate limit.
 	tried          map[string]bool
 	lastChoice     *balance.Choice
 	limitRefusals  int           // Number of servers whose limits did not allow the request.
