platform: test of changes while the watches of the store are silent, red

The test plays it with two halls: the fake store holds back watches and answers all other calls (memory.Faults.SilentWatches, Store.DropHistory).

--- a/kernel/platform/memory/memory.go
+++ b/kernel/platform/memory/memory.go
@@ -39,6 +39,9 @@
 	DelayMilliseconds int64 `json:"delayMilliseconds"`
 	// Gap makes watches fail with a *platform.GapError.
 	Gap bool `json:"gap"`
+	// SilentWatches makes watches hang until their callers give up, also those that
+	// are waiting already. They hang even if the fault ends before.
+	SilentWatches bool `json:"silentWatches"`
 }
 
 // Store is an in-memory key-value store. It is safe for concurrent use.
@@ -53,6 +56,7 @@
 	lastLeaseID platform.LeaseID
 	nextExpiry  time.Time // No lease expires before this time.
 	events      []platform.Event
+	dropped     uint64 // The events up to this revision are no longer available.
 	changed     chan struct{}
 	calls       int64
 }
@@ -80,6 +84,15 @@
 	s.wakeWatchers()
 }
 
+// DropHistory drops the events so far, so that watches from earlier revisions fail with
+// a *platform.GapError.
+func (s *Store) DropHistory() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.events = nil
+	s.dropped = s.revision
+}
+
 // Calls returns the number of calls so far; a watch counts as one.
 func (s *Store) Calls() int64 {
 	s.mutex.Lock()
@@ -205,6 +218,11 @@
 	timer := time.NewTimer(maxWatchWait)
 	defer timer.Stop()
 	for {
+		if s.faults.SilentWatches {
+			s.mutex.Unlock()
+			<-ctx.Done()
+			return platform.Changes{}, platform.NewUnavailableError("watch", false, ctx.Err())
+		}
 		changes, err := s.changesSince(prefix, after)
 		changed := s.changed
 		s.mutex.Unlock()
@@ -270,7 +288,7 @@
 
 func (s *Store) changesSince(prefix string, after uint64) (platform.Changes, error) {
 	changes := platform.Changes{Revision: s.revision}
-	if s.faults.Gap || (len(s.events) == maxEvents && after+1 < s.events[0].Entry.Version) {
+	if s.faults.Gap || after < s.dropped {
 		return changes, platform.NewGapError(after)
 	}
 	first := sort.Search(len(s.events), func(index int) bool { return s.events[index].Entry.Version > after })
@@ -315,6 +333,7 @@
 func (s *Store) appendEvent(event platform.Event) {
 	s.events = append(s.events, event)
 	if len(s.events) > maxEvents {
+		s.dropped = s.events[0].Entry.Version
 		s.events = s.events[1:]
 	}
 	s.wakeWatchers()
