watch: confirm the state when a watch is silent

Cause: a hall took the silence of its watch for "no changes". A watch that hears nothing, although the store answers all other calls, ended only by the client's own timeout of 3.7 s; the fallback to another host (1 s, in the same wait) and the next attempt followed. The class of fault: a state that is used without knowing when it was last confirmed.

Ruled out: a failed listing, older state from another host, the circuit breaker, a version read and not applied.

A revision that the watch has not delivered makes the watch call again, which is enough if only its connection was silent; without an answer to that all prefixes are listed at once, also after a gap. If the revision can't be read either for twice that interval, the watch fails as if it had timed out. A watch that is answered all the time, as on large sites, is not checked. One read every 0.8 to 1 s at a hall of a quiet site, half of that at a keeper, none on a busy one.

--- a/kernel/platform/follow.go
+++ b/kernel/platform/follow.go
@@ -8,8 +8,8 @@
 	"limpethall.dev/kernel/task"
 )
 
-// relistDelay is the delay before a prefix is listed again after an error or a
-// gap.
+// relistDelay is the delay before a prefix is listed again after an error, and the
+// least time between two listings after gaps.
 const relistDelay = 300 * time.Millisecond
 
 // Subscriber receives the state of a prefix and its changes.
@@ -29,16 +29,20 @@
 func Follow(ctx context.Context, store Store, prefix string, subscriber Subscriber) error {
 	healthy := true
 	for ctx.Err() == nil {
+		started := time.Now()
 		listed, err := listAndWatch(ctx, store, prefix, subscriber)
 		if ctx.Err() != nil {
 			return nil
 		}
 		var gap *GapError
-		if (healthy || listed) && !errors.As(err, &gap) {
+		isGap := errors.As(err, &gap)
+		if (healthy || listed) && !isGap {
 			subscriber.Failed(err)
 		}
 		healthy = false
-		task.Sleep(ctx, relistDelay)
+		if !isGap || time.Since(started) < relistDelay {
+			task.Sleep(ctx, relistDelay)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/kernel/watch/verify.go
@@ -0,0 +1,141 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethall.dev/kernel/platform"
+	"limpethall.dev/kernel/task"
+)
+
+// verify checks the state of a run whenever the watch has not been answered for the
+// check interval, until the run ends.
+func (s *Store) verify(ctx context.Context, generation int) {
+	for ctx.Err() == nil && s.isRunning(generation) {
+		// Hosts get most answers at the same moment. Jitter spreads the reads that follow.
+		interval := time.Duration((0.8 + 0.2*rand.Float64()) * float64(s.options.CheckInterval))
+		if wait := interval - s.Age(); wait > 0 {
+			task.Sleep(ctx, wait)
+			continue
+		}
+		revision, sent, err := s.readRevision(ctx)
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
+			s.failIfUnconfirmed(generation, err)
+			task.Sleep(ctx, checkRetryDelay-time.Since(sent))
+		case s.confirm(revision, sent):
+		default:
+			s.catchUp(ctx, generation, revision)
+		}
+	}
+}
+
+func (s *Store) isRunning(generation int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.isCurrent(generation)
+}
+
+// answerTimeout bounds the wait for a watch call to return a change that the service is
+// known to have. It must be longer than pauseAfterChanges.
+func (s *Store) answerTimeout() time.Duration { return s.options.CheckInterval / 4 }
+
+// readRevision reads the revision of the service. It ends when the run would fail for
+// lack of a confirmation.
+func (s *Store) readRevision(ctx context.Context) (revision uint64, sent time.Time, err error) {
+	timeout := max(2*s.options.CheckInterval-s.Age(), s.answerTimeout())
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, s.options.CheckInterval))
+	defer cancel()
+	sent = time.Now()
+	listing, err := s.List(ctx, revisionPrefix)
+	return listing.Revision, sent, err
+}
+
+// confirm reports whether this process has all changes up to a revision of the service
+// that was read by a call sent at the given time.
+func (s *Store) confirm(revision uint64, sent time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if revision > s.lastRevision {
+		return false
+	}
+	if sent.After(s.confirmedAt) {
+		s.confirmedAt = sent
+	}
+	return true
+}
+
+// failIfUnconfirmed ends the run once nothing has confirmed its state for twice the
+// check interval.
+func (s *Store) failIfUnconfirmed(generation int, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	age := time.Since(s.confirmedAt)
+	if !s.isCurrent(generation) || age < 2*s.options.CheckInterval {
+		return
+	}
+	s.record(Unavailable, err, age)
+	s.cancelCall()
+	s.fail(err)
+}
+
+// catchUp waits until the watch has returned the changes up to a revision. If it
+// doesn't, the watch call is made again, and if that call isn't answered, the run ends.
+func (s *Store) catchUp(ctx context.Context, generation int, revision uint64) {
+	if s.awaitRevision(ctx, generation, revision) {
+		return
+	}
+	s.replaceCall(generation, revision)
+	if s.awaitRevision(ctx, generation, revision) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.isCurrent(generation) {
+		return
+	}
+	err := platform.NewGapError(s.lastRevision)
+	s.record(Behind, err, time.Since(s.confirmedAt))
+	s.cancelCall()
+	s.fail(err)
+}
+
+// replaceCall makes the watch call of a run again.
+func (s *Store) replaceCall(generation int, revision uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.isCurrent(generation) {
+		return
+	}
+	s.outcomes[Behind]++
+	s.logger.Info("watch call did not return a change and is made again", zap.Uint64("revision", revision),
+		zap.Uint64("after", s.lastRevision), zap.Duration("confirmed", time.Since(s.confirmedAt)))
+	s.cancelCall()
+}
+
+// awaitRevision reports whether the watch returns the changes up to a revision within
+// answerTimeout. It returns true if the run ends meanwhile.
+func (s *Store) awaitRevision(ctx context.Context, generation int, revision uint64) bool {
+	timer := time.NewTimer(s.answerTimeout())
+	defer timer.Stop()
+	for {
+		s.mutex.Lock()
+		done := s.lastRevision >= revision || !s.isCurrent(generation)
+		changed := s.changed
+		s.mutex.Unlock()
+		if done {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
--- a/kernel/watch/watch.go
+++ b/kernel/watch/watch.go
@@ -1,9 +1,17 @@
 // Package watch lets all subscribers of a process share one watch of a whole
 // key-value service that bills each call and counts it against its rate limits.
 //
+// A watch that hears nothing may be broken although the service and the connection work.
+// So its silence is no proof that nothing changed: when the watch has not been answered
+// for the check interval, the store reads the revision of the service. If that is newer
+// than the last event, the watch call is made again, and if that call isn't answered at
+// once, all subscribers list their prefixes. If the revision can't be read either, all
+// subscribers get an error. Hence a subscriber has a change, or knows that its state may
+// be old, within about twice the check interval.
+//
 // # Usage
 //
-//	store := watch.New(direct, watch.Options{LongPoll: 3 * time.Second}, logger)
+//	store := watch.New(direct, watch.Options{CheckInterval: time.Second}, logger)
 //	changes, err := store.Watch(ctx, "servers/", revision)
 //	age := store.Age() // Since the service last confirmed the state.
 //
@@ -30,6 +38,13 @@
 	// pauseAfterChanges is the pause after a watch call that returned changes. Without
 	// it, each process would make one call for each change that any other one writes.
 	pauseAfterChanges = 100 * time.Millisecond
+	// subscriberWait is how long a subscriber waits for changes.
+	subscriberWait = 3 * time.Second
+	// checkRetryDelay is the pause after a failed read of the revision.
+	checkRetryDelay = 300 * time.Millisecond
+	// revisionPrefix is a prefix without keys. Its listing holds nothing but the
+	// revision of the service.
+	revisionPrefix = "revision/"
 )
 
 // Outcome is how a watch call ended.
@@ -42,12 +57,15 @@
 	Gap         Outcome = "gap"         // The service no longer has the changes.
 	TimedOut    Outcome = "timedOut"    // The service did not answer in time.
 	Unavailable Outcome = "unavailable" // The service refused the call or broke it off.
+	Behind      Outcome = "behind"      // It did not return a change that the service is known to have.
 )
 
 // Options configure a Store.
 type Options struct {
-	// LongPoll is how long a subscriber waits for changes.
-	LongPoll time.Duration
+	// CheckInterval is the time without an answer to the watch after which the revision
+	// of the service is read. It should be half of the time in which changes must arrive,
+	// and at least half a second.
+	CheckInterval time.Duration
 }
 
 // Store is a platform.Store whose watches share one watch of the whole service.
@@ -67,6 +85,7 @@
 	lastRevision  uint64    // up to this one, are buffered.
 	confirmedAt   time.Time // When the service last confirmed that there are no further events.
 	changed       chan struct{}
+	cancelCall    context.CancelFunc // Cancels the watch call in progress.
 	outcomes      map[Outcome]int64
 	lastLogged    Outcome // The last logged outcome, or empty after an answer.
 }
@@ -102,10 +121,10 @@
 }
 
 // Watch implements platform.Store. It returns the events of a prefix after a revision
-// as soon as there are any. If there are none within the long poll, it returns the
+// as soon as there are any. If there are none within subscriberWait, it returns the
 // revision reached.
 func (s *Store) Watch(ctx context.Context, prefix string, after uint64) (platform.Changes, error) {
-	timer := time.NewTimer(s.options.LongPoll)
+	timer := time.NewTimer(subscriberWait)
 	defer timer.Stop()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -155,35 +174,78 @@
 	s.generation++
 	s.events = nil
 	s.afterRevision, s.lastRevision, s.confirmedAt = after, after, time.Now()
-	go s.run(after)
+	ctx, cancel := context.WithCancel(s.ctx)
+	go s.run(ctx, cancel, s.generation)
+	go s.verify(ctx, s.generation)
 }
 
 // run watches the service until the first error, which all watchers receive.
-func (s *Store) run(after uint64) {
+func (s *Store) run(ctx context.Context, cancel context.CancelFunc, generation int) {
+	defer cancel()
 	for {
 		started := time.Now()
-		changes, err := s.Store.Watch(s.ctx, "", after)
-		s.mutex.Lock()
-		s.record(err, changes, after, time.Since(started))
-		if err != nil {
-			s.running = false
-			s.err = err
-		} else {
-			s.append(changes)
-			after = s.lastRevision
+		callCtx, cancelCall := context.WithCancel(ctx)
+		after, ok := s.beginCall(cancelCall, generation)
+		if !ok {
+			cancelCall()
+			return
 		}
-		close(s.changed)
-		s.changed = make(chan struct{})
-		s.mutex.Unlock()
-		if err != nil {
+		changes, err := s.Store.Watch(callCtx, "", after)
+		replaced := callCtx.Err() != nil
+		cancelCall()
+		if !s.endCall(generation, replaced, changes, err, time.Since(started)) {
 			return
 		}
 		if len(changes.Events) > 0 {
-			task.Sleep(s.ctx, pauseAfterChanges)
+			task.Sleep(ctx, pauseAfterChanges)
 		}
 	}
 }
 
+// beginCall returns the revision after which to watch, and false if the run has ended.
+func (s *Store) beginCall(cancelCall context.CancelFunc, generation int) (after uint64, ok bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cancelCall = cancelCall
+	return s.lastRevision, s.isCurrent(generation)
+}
+
+// endCall processes the result of a watch call and reports whether the run continues.
+// A call that was replaced ends with an error that says nothing about the service.
+func (s *Store) endCall(generation int, replaced bool, changes platform.Changes, err error, took time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.isCurrent(generation) {
+		return false
+	}
+	if err != nil && replaced && s.ctx.Err() == nil {
+		return true
+	}
+	s.record(outcomeOf(err, changes), err, took)
+	if err != nil {
+		s.fail(err)
+		return false
+	}
+	s.append(changes)
+	s.notify()
+	return true
+}
+
+// isCurrent reports whether a run is in progress. The caller must hold the mutex.
+func (s *Store) isCurrent(generation int) bool { return s.running && s.generation == generation }
+
+// fail ends the run with an error. The caller must hold the mutex.
+func (s *Store) fail(err error) {
+	s.running, s.err = false, err
+	s.notify()
+}
+
+// notify wakes all subscribers. The caller must hold the mutex.
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // append adds the events of an answer to the buffer. The caller must hold the mutex.
 func (s *Store) append(changes platform.Changes) {
 	s.events = append(s.events, changes.Events...)
@@ -196,8 +258,7 @@
 
 // record counts the outcome of a watch call. It logs the first failure after an
 // answer and each failure of another kind. The caller must hold the mutex.
-func (s *Store) record(err error, changes platform.Changes, after uint64, took time.Duration) {
-	outcome := outcomeOf(err, changes)
+func (s *Store) record(outcome Outcome, err error, took time.Duration) {
 	s.outcomes[outcome]++
 	if err == nil {
 		s.lastLogged = ""
@@ -207,7 +268,7 @@
 		return
 	}
 	s.lastLogged = outcome
-	s.logger.Info("watch ended; its subscribers list their prefixes again", zap.String("outcome", string(outcome)), zap.Uint64("after", after),
+	s.logger.Info("watch ended; its subscribers list their prefixes again", zap.String("outcome", string(outcome)), zap.Uint64("after", s.lastRevision),
 		zap.Duration("took", took), zap.Duration("confirmed", time.Since(s.confirmedAt)), zap.Error(err))
 }
 
