ledger: a repeated request waits until the record is synced

A loss of power at that moment loses an acknowledged turn on that disk.

Cause: the record was in memory, so the repeated request had nothing to store and returned at once.

Change: a repeated request stores the record again, unchanged, and waits for its sync.

TestRepeatedRequestWaitsForSync: red before (finish answered before the sync), passes.

--- /dev/null
+++ b/keeper/ledger/durability_test.go
@@ -0,0 +1,98 @@
+package ledger_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"go.uber.org/zap"
+
+	"limpethall.dev/keeper/archive"
+	"limpethall.dev/keeper/ledger"
+	"limpethall.dev/kernel/wire"
+)
+
+// heldFS is a file system whose syncs wait while hold is not nil.
+type heldFS struct {
+	vfs.FS
+	hold chan chan struct{} // Holds a channel that is closed to let syncs continue.
+}
+
+func (fs *heldFS) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
+	file, err := fs.FS.Create(name, category)
+	return &heldFile{File: file, fs: fs}, err
+}
+
+type heldFile struct {
+	vfs.File
+	fs *heldFS
+}
+
+func (f *heldFile) wait() {
+	release := <-f.fs.hold
+	f.fs.hold <- release
+	<-release
+}
+
+func (f *heldFile) Sync() error {
+	f.wait()
+	return f.File.Sync()
+}
+
+func (f *heldFile) SyncData() error {
+	f.wait()
+	return f.File.SyncData()
+}
+
+// TestRepeatedRequestWaitsForSync guards against a turn that was acknowledged and lost: a
+// repeated request found the record in memory and was answered before the first request
+// had synced it.
+func TestRepeatedRequestWaitsForSync(t *testing.T) {
+	released := make(chan struct{})
+	close(released)
+	fs := &heldFS{FS: vfs.NewMem(), hold: make(chan chan struct{}, 1)}
+	fs.hold <- released
+	disk, err := archive.OpenFS(fs, "data", zap.NewNop())
+	if err != nil {
+		t.Fatalf("open the archive: %v", err)
+	}
+	defer func() { _ = disk.Close() }()
+	l, err := ledger.Open(disk, time.Now(), zap.NewNop())
+	if err != nil {
+		t.Fatalf("open the ledger: %v", err)
+	}
+	if err := l.SetReady(true); err != nil {
+		t.Fatalf("set ready: %v", err)
+	}
+	requests := []struct {
+		name string
+		send func() error
+	}{
+		{"begin", func() error {
+			_, err := l.Begin(time.Now(), &wire.BeginTurnRequest{Reservation: newReservation("a", 10, false), Budget: 100, Workspace: "w"})
+			return err
+		}},
+		{"finish", func() error {
+			return l.Finish(time.Now(), &wire.FinishTurnRequest{Turn: newTurn("a", "", "w"), Reservation: newReservation("a", 7, true)})
+		}},
+	}
+	for _, request := range requests {
+		<-fs.hold
+		release := make(chan struct{})
+		fs.hold <- release
+		answers := make(chan error, 2)
+		for range 2 {
+			go func() { answers <- request.send() }()
+			time.Sleep(50 * time.Millisecond)
+		}
+		if got, want := len(answers), 0; got != want {
+			t.Errorf("%s: got %d answers before the record was synced, want none", request.name, got)
+		}
+		close(release)
+		for range 2 {
+			if err := <-answers; err != nil {
+				t.Errorf("%s: got %v, want none", request.name, err)
+			}
+		}
+	}
+}
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -177,7 +177,7 @@
 	var records []archive.Record
 	l.mutex.Lock()
 	if reservation := request.GetReservation(); reservation.GetProgram() != "" {
-		records = append(records, l.putReservation(reservation)...)
+		records = append(records, l.putOrRepeatReservation(reservation)...)
 	}
 	turn := request.GetTurn()
 	if turn != nil {
@@ -259,7 +259,7 @@
 	if request.GetBudget() > 0 && spent+reservation.GetTokens() > request.GetBudget() {
 		return spent, false, nil
 	}
-	records = l.putReservation(reservation)
+	records = l.putOrRepeatReservation(reservation)
 	expires := time.UnixMilli(reservation.GetExpiresUnixMilliseconds())
 	for turn, entry := range entries {
 		if entry.expires.Before(expires) {
@@ -271,6 +271,16 @@
 	return spent, true, records
 }
 
+// putOrRepeatReservation is like putReservation, but returns the record also if the
+// reservation is known. The request that made it known may not have synced it yet.
+func (l *Ledger) putOrRepeatReservation(reservation *wire.Reservation) []archive.Record {
+	if records := l.putReservation(reservation); len(records) > 0 {
+		return records
+	}
+	entry := l.programs[reservation.GetProgram()][reservation.GetTurn()]
+	return []archive.Record{encodeReservation(reservation.GetProgram(), reservation.GetTurn(), entry)}
+}
+
 // putReservation adds or settles a reservation and returns the records to store.
 // A settled reservation never changes. The caller must hold the mutex.
 func (l *Ledger) putReservation(reservation *wire.Reservation) []archive.Record {
@@ -299,17 +309,27 @@
 // records to store. The caller must hold the mutex.
 func (l *Ledger) putTurn(now time.Time, turn *wire.Turn) []archive.Record {
 	expires := time.UnixMilli(turn.GetExpiresUnixMilliseconds())
-	var records []archive.Record
-	if _, found := l.turns[turn.GetId()]; !found {
-		record, err := encodeTurn(turn, expires.Add(expires.Sub(now)*extraRetentionFactor))
-		if err != nil {
-			l.logger.Error("failed to encode turn", zap.String("turn", turn.GetId()), zap.Error(err))
-			return nil
-		}
-		l.turns[turn.GetId()] = newTurnEntry(turn, record.Expires)
-		records = append(records, record)
+	record, err := l.turnRecord(turn, expires.Add(expires.Sub(now)*extraRetentionFactor))
+	if err != nil {
+		l.logger.Error("failed to encode turn", zap.String("turn", turn.GetId()), zap.Error(err))
+		return nil
+	}
+	l.turns[turn.GetId()] = newTurnEntry(turn, record.Expires)
+	return append([]archive.Record{record}, l.extendChain(now, turn.GetPrevious(), expires)...)
+}
+
+// turnRecord returns the record of a turn. That of a known turn is stored again without
+// a change, as the request that made it known may not have synced it yet.
+func (l *Ledger) turnRecord(turn *wire.Turn, expires time.Time) (archive.Record, error) {
+	entry, found := l.turns[turn.GetId()]
+	if !found {
+		return encodeTurn(turn, expires)
+	}
+	value, err := l.archive.Read(turnPrefix+turn.GetId(), entry.expires)
+	if err != nil {
+		return encodeTurn(turn, entry.expires)
 	}
-	return append(records, l.extendChain(now, turn.GetPrevious(), expires)...)
+	return archive.Record{Key: turnPrefix + turn.GetId(), Value: value, Expires: entry.expires}, nil
 }
 
 // extendChain extends the turns of a chain that would expire before the given
