archive: wait while the disk is full

Cause: the database ends the process when a write of its log fails, and the archive handed each ENOSPC of the file system to it.

Change: writes wait until the disk has space. Before a request changes a record in memory the ledger asks whether the archive is writable; if not, it fails with a FullError that tells since when, so that halls use the other keepers at once and no record is counted that was not written. Records can be read all the while. One log line when the disk becomes full and one when it has space again.

--- a/keeper/archive/archive.go
+++ b/keeper/archive/archive.go
@@ -4,6 +4,10 @@
 // with one range deletion, which lets the database reclaim its space. Store
 // returns once the records are synced; concurrent callers share a sync.
 //
+// While the disk has no space, writes wait, and Writable returns a *FullError, so that
+// callers can refuse a request before they change anything. Records can be read all the
+// while.
+//
 // # Usage
 //
 //	store, err := archive.Open("/data/keeper", logger)
@@ -46,6 +50,7 @@
 // Archive is an open record store.
 type Archive struct {
 	db *pebble.DB
+	fs *waitingFS
 }
 
 // Open opens the archive in a directory and creates it if it does not exist.
@@ -55,10 +60,11 @@
 
 // OpenFS opens the archive in a directory of the given file system.
 func OpenFS(fs vfs.FS, dir string, logger *zap.Logger) (*Archive, error) {
+	waiting := &waitingFS{FS: fs, logger: logger}
 	cache := pebble.NewCache(blockCacheBytes)
 	defer cache.Unref()
 	db, err := pebble.Open(dir, &pebble.Options{
-		FS:                          fs,
+		FS:                          waiting,
 		Cache:                       cache,
 		MemTableSize:                memTableBytes,
 		MemTableStopWritesThreshold: 4,
@@ -69,11 +75,25 @@
 	if err != nil {
 		return nil, oops.In("archive").Wrapf(err, "open the archive in %s", dir)
 	}
-	return &Archive{db: db}, nil
+	return &Archive{db: db, fs: waiting}, nil
 }
 
-// Close closes the database.
-func (a *Archive) Close() error { return a.db.Close() }
+// Close closes the database. While the disk is full it does nothing: closing would wait
+// for space, and synced records need no close.
+func (a *Archive) Close() error {
+	if err := a.Writable(); err != nil {
+		return err
+	}
+	return a.db.Close()
+}
+
+// Writable returns a *FullError if the disk has no space.
+func (a *Archive) Writable() error {
+	if full := a.fs.full.Load(); full != nil {
+		return full
+	}
+	return nil
+}
 
 // Store writes the records in one batch and returns once they are synced.
 func (a *Archive) Store(records ...Record) error { return a.write(pebble.Sync, records) }
@@ -139,6 +159,9 @@
 
 // Expire removes all buckets that have ended by now.
 func (a *Archive) Expire(now time.Time) error {
+	if err := a.Writable(); err != nil {
+		return err
+	}
 	end := make([]byte, bucketPrefixBytes)
 	binary.BigEndian.PutUint64(end, uint64(bucketEnd(now)))
 	return a.db.DeleteRange(make([]byte, bucketPrefixBytes), end, pebble.NoSync)
--- a/keeper/ledger/copy.go
+++ b/keeper/ledger/copy.go
@@ -93,6 +93,9 @@
 
 // Merge adds a page of another keeper's records and syncs them to disk.
 func (l *Ledger) Merge(now time.Time, page *wire.CopyReply) error {
+	if err := l.archive.Writable(); err != nil {
+		return err
+	}
 	var records []archive.Record
 	l.mutex.Lock()
 	for _, reservation := range page.GetReservations() {
--- a/keeper/ledger/durability_test.go
+++ b/keeper/ledger/durability_test.go
@@ -1,6 +1,9 @@
 package ledger_test
 
 import (
+	"errors"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,3 +99,77 @@
 		}
 	}
 }
+
+// fullFS is a file system that has no space while full is set.
+type fullFS struct {
+	vfs.FS
+	full atomic.Bool
+}
+
+func (fs *fullFS) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
+	file, err := fs.FS.Create(name, category)
+	return &fullFile{File: file, fs: fs}, err
+}
+
+type fullFile struct {
+	vfs.File
+	fs *fullFS
+}
+
+func (f *fullFile) Write(data []byte) (int, error) {
+	if f.fs.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(data)
+}
+
+// TestRequestsWhileDiskIsFull guards against records that a keeper acknowledges or counts
+// although it could not write them. Requests must fail at once, and the same ones must
+// succeed when there is space again.
+func TestRequestsWhileDiskIsFull(t *testing.T) {
+	fs := &fullFS{FS: vfs.NewMem()}
+	disk, err := archive.OpenFS(fs, "data", zap.NewNop())
+	if err != nil {
+		t.Fatalf("open the archive: %v", err)
+	}
+	defer func() { _ = disk.Close() }()
+	l, err := ledger.Open(disk, time.Now(), zap.NewNop())
+	if err != nil {
+		t.Fatalf("open the ledger: %v", err)
+	}
+	if err := l.SetReady(true); err != nil {
+		t.Fatalf("set ready: %v", err)
+	}
+	requests := map[string]func() error{
+		"begin": func() error {
+			_, err := l.Begin(time.Now(), &wire.BeginTurnRequest{Reservation: newReservation("a", 10, false), Budget: 100, Workspace: "w"})
+			return err
+		},
+		"finish": func() error { return l.Finish(time.Now(), &wire.FinishTurnRequest{Turn: newTurn("a", "", "w")}) },
+		"copy":   func() error { return l.Merge(time.Now(), &wire.CopyReply{Turns: []*wire.Turn{newTurn("b", "", "w")}}) },
+	}
+	fs.full.Store(true)
+	waiting := make(chan error, 1)
+	go func() { waiting <- l.SetCopied(&wire.KeeperList{}) }()
+	for disk.Writable() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	var full *archive.FullError
+	for name, send := range requests {
+		if err := send(); !errors.As(err, &full) {
+			t.Errorf("%s while the disk is full: got %v, want a FullError", name, err)
+		}
+	}
+	if turns, programs := l.Counts(); turns != 0 || programs != 0 {
+		t.Errorf("records after refused requests: got %d turns and %d programs, want none", turns, programs)
+	}
+	fs.full.Store(false)
+	if err := <-waiting; err != nil {
+		t.Errorf("write that waited for space: got %v, want none", err)
+	}
+	for name, send := range requests {
+		if err := send(); err != nil {
+			t.Errorf("%s with space again: got %v, want none", name, err)
+		}
+	}
+}
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -148,6 +148,10 @@
 	if !l.Ready() || l.isPending(request.GetReservation().GetProgram()) {
 		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY}, nil
 	}
+	// Checked before a record changes in memory, which would no longer be that on disk.
+	if err := l.archive.Writable(); err != nil {
+		return nil, err
+	}
 	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED, ResumedVersion: l.versionOf(request.GetReservation().GetProgram(), request.GetResumes())}
 	if request.GetReservation() != nil {
 		spent, admitted, records := l.reserve(now, request, reply)
@@ -174,6 +178,9 @@
 // before Finish returns. A settlement without a turn is not synced: until it is
 // on disk, the reservation counts at its maximum, which never admits too much.
 func (l *Ledger) Finish(now time.Time, request *wire.FinishTurnRequest) error {
+	if err := l.archive.Writable(); err != nil {
+		return err
+	}
 	var records []archive.Record
 	l.mutex.Lock()
 	if reservation := request.GetReservation(); reservation.GetProgram() != "" {
