--- a/standin/simnet/connection.go
+++ b/standin/simnet/connection.go
@@ -94,6 +94,7 @@
 
 	mutex        sync.Mutex
 	closed       bool
+	resetOnClose bool
 	readDeadline time.Time
 	// changed is closed and replaced at each change of closed or readDeadline.
 	changed chan struct{}
@@ -152,8 +153,13 @@
 
 // Close implements net.Conn.
 func (c *connection) Close() error {
-	c.update(func() { c.closed = true })
-	c.outgoing.setClosed()
+	resets := false
+	c.update(func() { c.closed, resets = true, c.resetOnClose })
+	if resets {
+		c.outgoing.setReset()
+	} else {
+		c.outgoing.setClosed()
+	}
 	c.incoming.setClosed()
 	if c.onClose != nil {
 		c.onClose()
@@ -161,6 +167,13 @@
 	return nil
 }
 
+// SetLinger makes Close reset the connection if seconds is zero, like that of
+// net.TCPConn. Data that the peer has not read by then is lost.
+func (c *connection) SetLinger(seconds int) error {
+	c.update(func() { c.resetOnClose = seconds == 0 })
+	return nil
+}
+
 // LocalAddr implements net.Conn.
 func (c *connection) LocalAddr() net.Addr { return memoryAddress(c.local) }
 
