backend: use no server that said in an answer that it leaves

New on the users' pages: an engine that leaves says so in all its answers (Server-Leaving: 1), and a host that has passed on such an answer must not send it requests any more, whatever the platform's list says. No hall read the header, and it went out to callers. The list is late or old while the store is out of reach: a hall went on sending to a server that had told it that it leaves.

The directory of backend servers records the departure with the start time of the server and publishes the list without it, so that every choice is covered: first sends, repeats, later turns, resumed streams, cold and limited servers. An old entry of the list does not undo it; a server that starts again under its ID is used again.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -413,6 +413,10 @@
 	c.state.failedAt = now
 }
 
+// ReportDeparture records that the server said that it leaves. It reports whether this
+// was not known.
+func (c *Choice) ReportDeparture() bool { return c.balancer.directory.RecordDeparture(c.server) }
+
 // ReportLimitWait records how long a request waits for the limit of the server.
 func (c *Choice) ReportLimitWait(now time.Time, wait time.Duration) {
 	c.balancer.mutex.Lock()
--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -66,6 +66,7 @@
 		if err == nil {
 			now := time.Now()
 			h.gateway.options.Limits.Tracker().Observe(now, choice.Server().ID(), serverlimit.NewObservation(response.Limit, sentAt, now))
+			h.recordDeparture(choice, response)
 		}
 		if err == nil && !response.NotRun {
 			choice.ReportStart(query, time.Since(sentAt))
@@ -121,6 +122,16 @@
 	}
 }
 
+// recordDeparture records that the server of a response said that it leaves. From then on
+// this hall sends it no request, also if the server list does not say so yet.
+func (h *requestHandler) recordDeparture(choice *balance.Choice, response *Response) {
+	if !response.Leaving || !choice.ReportDeparture() {
+		return
+	}
+	h.gateway.options.Logger.Info("backend server says that it leaves; it receives no new requests", zap.String("requestId", h.request.ID),
+		zap.String("server", choice.Server().ID()), zap.String("service", choice.Server().Service()), zap.Int("status", response.Status), zap.Duration("listAge", choice.ListAge()))
+}
+
 // skipServer ends the exchange with a server that did not run the request or
 // did not complete its response, and excludes the server from later attempts.
 // A full connection pool or a canceled request is not held against the server.
--- a/hall/gateway/request.go
+++ b/hall/gateway/request.go
@@ -84,6 +84,8 @@
 	Load *balance.Load
 	// Limit is what the response says about the limit of its server.
 	Limit serverlimit.Statement
+	// Leaving is set if the response says that its server is about to leave.
+	Leaving bool
 	// Close ends the exchange and releases its connection.
 	Close func()
 }
--- a/kernel/backend/backend.go
+++ b/kernel/backend/backend.go
@@ -1,18 +1,18 @@
 // Package backend holds the current list of backend servers: the address, service
-// and state of each, and which of them accept new requests.
+// and state of each, and which of them accept new requests. A server that says in an
+// answer that it leaves accepts none, also if the list does not say so yet.
 //
 // # Usage
 //
 //	directory := backend.NewDirectory()
 //	directory.Publish(backend.NewList(revision, time.Now(), servers, excludedZones))
 //	for _, server := range directory.List().Usable("orders") { … }
+//	directory.RecordDeparture(server) // After an answer that says so.
 package backend
 
 import (
 	"slices"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -92,31 +92,43 @@
 
 // List is an immutable snapshot of the known servers.
 type List struct {
-	revision uint64
-	readAt   time.Time
-	byID     map[string]Server
-	usable   map[string][]Server
-	mixed    map[string]bool // Services whose usable servers have several versions.
+	revision      uint64
+	readAt        time.Time
+	byID          map[string]Server
+	excludedZones map[string]bool
+	usable        map[string][]Server
+	mixed         map[string]bool // Services whose usable servers have several versions.
 }
 
 // NewList returns a list of servers as of a store revision; readAt is when the list
 // was last known to be current. Draining servers and servers in excludedZones are
 // known but not usable.
 func NewList(revision uint64, readAt time.Time, servers []Server, excludedZones map[string]bool) *List {
-	l := &List{revision: revision, readAt: readAt, byID: make(map[string]Server, len(servers)), usable: make(map[string][]Server), mixed: make(map[string]bool)}
+	l := &List{revision: revision, readAt: readAt, byID: make(map[string]Server, len(servers)), excludedZones: excludedZones}
 	for _, server := range servers {
 		l.byID[server.id] = server
-		if !server.draining && !excludedZones[server.zone] {
-			l.usable[server.service] = append(l.usable[server.service], server)
-			if server.version != l.usable[server.service][0].version {
-				l.mixed[server.service] = true
-			}
+	}
+	return l.withoutDepartures(nil)
+}
+
+// withoutDepartures returns the list in which the servers of the departures are known but
+// not usable.
+func (l *List) withoutDepartures(departures map[string]departure) *List {
+	next := *l
+	next.usable, next.mixed = make(map[string][]Server), make(map[string]bool)
+	for _, server := range l.byID {
+		if server.draining || l.excludedZones[server.zone] || departures[server.id].concerns(server) {
+			continue
+		}
+		next.usable[server.service] = append(next.usable[server.service], server)
+		if server.version != next.usable[server.service][0].version {
+			next.mixed[server.service] = true
 		}
 	}
-	for _, usable := range l.usable {
+	for _, usable := range next.usable {
 		slices.SortFunc(usable, func(a, b Server) int { return strings.Compare(a.id, b.id) })
 	}
-	return l
+	return &next
 }
 
 // Revision returns the store revision that the list reflects.
@@ -156,80 +168,3 @@
 	}
 	return addresses
 }
-
-// versionSpan is a software version that all known servers of a service have had since
-// a time.
-type versionSpan struct {
-	version string
-	since   time.Time
-}
-
-// Directory holds the current list and notifies subscribers of new ones. Reading it is
-// safe for concurrent use.
-type Directory struct {
-	current     atomic.Pointer[List]
-	subscribers []func(*List)
-
-	mutex    sync.Mutex
-	versions map[string]versionSpan // By service; absent if its servers have several versions.
-}
-
-// NewDirectory returns a directory with an empty list.
-func NewDirectory() *Directory {
-	d := &Directory{versions: make(map[string]versionSpan)}
-	d.current.Store(NewList(0, time.Time{}, nil, nil))
-	return d
-}
-
-// List returns the current list.
-func (d *Directory) List() *List { return d.current.Load() }
-
-// Subscribe registers a function that is called with every published list. It must
-// be called before the first Publish; notify must not block.
-func (d *Directory) Subscribe(notify func(*List)) { d.subscribers = append(d.subscribers, notify) }
-
-// Publish makes list the current one and calls the subscribers.
-func (d *Directory) Publish(list *List) {
-	d.updateVersions(list)
-	d.current.Store(list)
-	for _, notify := range d.subscribers {
-		notify(list)
-	}
-}
-
-// SteadyVersion returns the software version that all servers of a service known to this
-// directory, draining ones included, have had for at least the given duration. It returns
-// false if there is none.
-func (d *Directory) SteadyVersion(service string, duration time.Duration) (string, bool) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	span, found := d.versions[service]
-	if !found || time.Since(span.since) < duration {
-		return "", false
-	}
-	return span.version, true
-}
-
-func (d *Directory) updateVersions(list *List) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	now := time.Now()
-	versions := make(map[string]versionSpan)
-	mixed := make(map[string]bool)
-	for _, server := range list.byID {
-		if span, found := versions[server.service]; found && span.version != server.version {
-			mixed[server.service] = true
-		}
-		versions[server.service] = versionSpan{version: server.version, since: now}
-	}
-	for service, span := range versions {
-		before, found := d.versions[service]
-		switch {
-		case mixed[service]:
-			delete(versions, service)
-		case found && before.version == span.version:
-			versions[service] = before
-		}
-	}
-	d.versions = versions
-}
