--- a/standin/deployment/configuration_test.go
+++ b/standin/deployment/configuration_test.go
@@ -60,6 +60,9 @@
 			env.network.Freeze("hall-1", "store")
 			env.network.Freeze("hall-1", "hall-2")
 		}},
+		{"the watches of the store are silent", func(env *testEnv) {
+			env.Store().Memory().SetFaults(memory.Faults{SilentWatches: true})
+		}},
 		{"one hall can't reach any other process", func(env *testEnv) { env.disconnectHall("hall-1") }},
 	}
 	for _, c := range cases {
