eventstream: split streams into events in a package of its own, and say why one broke off

eventstream.Reader returns events as they were sent, io.EOF after an event and a CutError inside one. The gateway logs the reason of each response that was broken off (insideEvent, reset, closed, deadline, canceled, caller, eventTooLong) and counts it in limpethall.gateway.broken.

--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -162,6 +162,8 @@
 		return nil
 	}
 	h.possibleRuns++
+	h.gateway.options.Logger.Info("response broken off", zap.String("requestId", h.request.ID), zap.String("server", h.lastChoice.Server().ID()),
+		zap.String("reason", string(h.recordBreak(ctx, err))), zap.Bool("repeatable", h.route.IsRepeatable()), zap.Error(err))
 	if ctx.Err() != nil {
 		return h.deadlineRefusal(ctx)
 	}
@@ -234,6 +236,7 @@
 	if len(body) == maxBufferedBytes {
 		if _, err := io.Copy(h.writer, response.Body); err != nil {
 			h.abortErr = err
+			h.recordBreak(ctx, err)
 		}
 	}
 	return nil, false
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -10,11 +10,13 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"limpethall.dev/hall/balance"
 	"limpethall.dev/hall/gateway"
@@ -34,7 +36,8 @@
 	notRun    bool
 	status    int
 	body      string
-	truncated bool // Reading the body ends with an error.
+	truncated bool  // Reading the body ends with an error.
+	cause     error // The error of a truncated body, a reset connection if nil.
 	stream    bool
 }
 
@@ -62,7 +65,7 @@
 		response.Header.Set("Content-Type", "text/event-stream")
 	}
 	if next.truncated {
-		response.Body = io.MultiReader(strings.NewReader(next.body), &brokenReader{})
+		response.Body = io.MultiReader(strings.NewReader(next.body), &brokenReader{cause: next.cause})
 	}
 	return response, nil
 }
@@ -101,10 +104,15 @@
 	return t.crashes
 }
 
-type brokenReader struct{}
+type brokenReader struct{ cause error }
 
 // Read implements io.Reader.
-func (*brokenReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+func (r *brokenReader) Read([]byte) (int, error) {
+	if r.cause != nil {
+		return 0, r.cause
+	}
+	return 0, errors.New("connection reset")
+}
 
 // fakeAdmitter admits every request, or none if err is set. If limiter is set, that
 // decides.
@@ -176,6 +184,7 @@
 	limits       *serverlimit.Limiter
 	gateway      *gateway.Gateway
 	catalog      *catalog.Catalog
+	logged       *observer.ObservedLogs
 }
 
 // newFixture returns a gateway with four backend servers and one route of each
@@ -205,10 +214,12 @@
 	}
 	directory.Publish(backend.NewList(1, time.Now(), servers, nil))
 	f.limits = serverlimit.New("hall-0", func() []host.Member { return nil }, nil, serverlimit.NewTracker(zap.NewNop()), zap.NewNop())
+	core, logged := observer.New(zap.InfoLevel)
+	f.logged = logged
 	f.gateway = gateway.New(gateway.Options{
 		Limits:  f.limits,
 		Catalog: func() *catalog.Catalog { return current }, Admitter: f.admitter, Turns: f.turns, Balancer: balancer,
-		Backend: f.backend, Crashes: f.crashTracker, HallCount: func() int { return 1 }, Logger: zap.NewNop(),
+		Backend: f.backend, Crashes: f.crashTracker, HallCount: func() int { return 1 }, Logger: zap.New(core),
 	})
 	return f
 }
@@ -295,6 +306,36 @@
 	}
 }
 
+// TestReasonOfBrokenResponse guards against responses that were broken off without a log
+// line that tells why.
+func TestReasonOfBrokenResponse(t *testing.T) {
+	cases := []struct {
+		name, path string
+		response   cannedResponse
+		want       string
+	}{
+		{"stream ended inside an event", "/kept/x", cannedResponse{status: 200, stream: true, body: "id: 1\ndata: a\n\nda"}, "insideEvent"},
+		{"stream reset", "/kept/x", cannedResponse{status: 200, stream: true, body: "id: 1\ndata: a\n\n", truncated: true, cause: syscall.ECONNRESET}, "reset"},
+		{"chunks ended early", "/kept/x", cannedResponse{status: 200, stream: true, body: "da", truncated: true, cause: io.ErrUnexpectedEOF}, "closed"},
+		{"body reset", "/once/x", cannedResponse{status: 200, body: "do", truncated: true, cause: syscall.ECONNRESET}, "reset"},
+		{"deadline passed", "/once/x", cannedResponse{err: connection.NewIncompleteResponseError(context.DeadlineExceeded)}, "deadline"},
+		{"event too long", "/kept/x", cannedResponse{status: 200, stream: true, body: "data: " + strings.Repeat("x", 1<<20)}, "eventTooLong"},
+	}
+	for _, tc := range cases {
+		f := newFixture(tc.response)
+		f.send(tc.path, nil)
+		var got []any
+		for _, entry := range f.logged.All() {
+			if reason, found := entry.ContextMap()["reason"]; found && (entry.Message == "stream interrupted" || entry.Message == "response broken off") {
+				got = append(got, reason)
+			}
+		}
+		if want := []any{tc.want}; !slices.Equal(got, want) {
+			t.Errorf("%s: got reasons %v, want %v", tc.name, got, want)
+		}
+	}
+}
+
 // TestRetryUsesAnotherServer checks that a request which a server did not run is
 // not sent to the same server again.
 func TestRetryUsesAnotherServer(t *testing.T) {
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,20 +9,16 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"limpethall.dev/hall/eventstream"
 )
 
 const (
 	eventStream = "text/event-stream"
-	// readBufferBytes is the size of the buffer for reading a stream.
-	readBufferBytes = 4 << 10
-	// maxEventBytes limits the size of one event.
-	maxEventBytes = 1 << 20
 	// finishTimeout bounds storing a turn after its last event.
 	finishTimeout = 2 * time.Second
 )
 
-var errEventTooLong = errors.New("event exceeds the size limit")
-
 // streamProgress is the part of a stream that was relayed to the caller.
 type streamProgress struct {
 	events      int64
@@ -91,7 +85,7 @@
 	resumable := h.route.Resumable && serverFailed
 	h.gateway.options.Logger.Info("stream interrupted", zap.String("requestId", h.request.ID),
 		zap.String("server", h.lastChoice.Server().ID()), zap.String("version", h.lastChoice.Server().Version()), zap.Int64("events", progress.events), zap.String("lastEvent", progress.lastEventID),
-		zap.Bool("resumable", resumable), zap.Error(cause))
+		zap.Bool("resumable", resumable), zap.String("reason", string(h.recordBreak(ctx, cause))), zap.Error(cause))
 	if !resumable {
 		return nil
 	}
@@ -119,33 +113,21 @@
 // relayEvents relays complete events until the stream ends. Events that are
 // already buffered are flushed together.
 func (h *requestHandler) relayEvents(response *serverResponse, progress *streamProgress) error {
-	reader := bufio.NewReaderSize(response.Body, readBufferBytes)
+	reader := eventstream.New(response.Body)
 	flusher := http.NewResponseController(h.writer)
-	var event []byte
 	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+		event, err := reader.Next()
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) == 0:
+		case errors.Is(err, io.EOF):
 			return nil
-		case err != nil && errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
 		case err != nil:
 			return err
-		case len(event) > maxEventBytes:
-			return errEventTooLong
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 || !isCompleteEvent(event) {
-			continue
-		}
-		if _, err := h.writer.Write(event); err != nil {
+		if _, err := h.writer.Write(event.Bytes()); err != nil {
 			return &callerError{cause: err}
 		}
 		progress.addEvent(event, h.route.KeepsHistory)
-		event = event[:0]
-		if reader.Buffered() == 0 {
+		if !reader.HasBuffered() {
 			if err := flusher.Flush(); err != nil {
 				return &callerError{cause: err}
 			}
@@ -153,34 +135,14 @@
 	}
 }
 
-// isCompleteEvent reports whether the bytes end with an empty line.
-func isCompleteEvent(event []byte) bool {
-	return bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\n\r\n")) || len(bytes.Trim(event, "\r\n")) == 0
-}
-
 // addEvent records a relayed event, and its data if keepData is set. Events
 // without data are not counted.
-func (p *streamProgress) addEvent(event []byte, keepData bool) {
-	hasData := false
-	var data []byte
-	for line := range bytes.Lines(event) {
-		line = bytes.TrimRight(line, "\r\n")
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(name) {
-		case "id":
-			p.lastEventID = string(value)
-		case "data":
-			if hasData && keepData {
-				data = append(data, '\n')
-			}
-			hasData = true
-			if keepData {
-				data = append(data, value...)
-			}
-		}
+func (p *streamProgress) addEvent(event eventstream.Event, keepData bool) {
+	if id, found := event.ID(); found {
+		p.lastEventID = id
 	}
-	if !hasData {
+	data, found := event.Data()
+	if !found {
 		return
 	}
 	p.events++
