watch: derive all times from the apply period, and pause longer while changes go on

Change: one option, the time in which changes must be in force, from which check, time-out and pause follow. The check comes after 0.54 to 0.6 of it in place of 0.4 to 0.5. After a burst of twelve, watch calls that return changes are 0.12 of it apart (0.24 s at 2 s, 0.48 s at 4 s).

--- a/kernel/watch/verify.go
+++ b/kernel/watch/verify.go
@@ -17,8 +17,7 @@
 func (s *Store) verify(ctx context.Context, generation int) {
 	unanswered := false // Whether the last read of the revision was not answered.
 	for ctx.Err() == nil && s.isRunning(generation) {
-		// Hosts get most answers at the same moment. Jitter spreads the reads that follow.
-		interval := time.Duration((0.8 + 0.2*rand.Float64()) * float64(s.options.CheckInterval))
+		interval := s.fraction(minCheckInterval + rand.Float64()*(checkInterval-minCheckInterval))
 		if wait := interval - s.Age(); wait > 0 {
 			task.Sleep(ctx, wait)
 			continue
@@ -44,15 +43,11 @@
 	return s.isCurrent(generation)
 }
 
-// answerTimeout bounds the wait for a watch call to return a change that the service is
-// known to have. It must be longer than pauseAfterChanges.
-func (s *Store) answerTimeout() time.Duration { return s.options.CheckInterval / 4 }
-
 // readRevision reads the revision of the service. If the read is not answered, there is
 // time for a second one before the run fails for lack of a confirmation.
 func (s *Store) readRevision(ctx context.Context) (revision uint64, sent time.Time, err error) {
-	timeout := max(2*s.options.CheckInterval-s.Age(), s.answerTimeout())
-	ctx, cancel := context.WithTimeout(ctx, min(timeout, s.options.CheckInterval*3/5))
+	timeout := max(s.options.ApplyPeriod-s.Age(), s.fraction(answerTimeout))
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, s.fraction(readTimeout)))
 	defer cancel()
 	sent = time.Now()
 	listing, err := s.List(ctx, revisionPrefix)
@@ -73,13 +68,13 @@
 	return true
 }
 
-// failIfUnconfirmed ends the run once nothing has confirmed its state for twice the
-// check interval.
+// failIfUnconfirmed ends the run once nothing has confirmed its state for the apply
+// period.
 func (s *Store) failIfUnconfirmed(generation int, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	age := time.Since(s.confirmedAt)
-	if !s.isCurrent(generation) || age < 2*s.options.CheckInterval {
+	if !s.isCurrent(generation) || age < s.options.ApplyPeriod {
 		return
 	}
 	s.record(Unavailable, err, age)
@@ -125,7 +120,7 @@
 // awaitRevision reports whether the watch returns the changes up to a revision within
 // answerTimeout. It returns true if the run ends meanwhile.
 func (s *Store) awaitRevision(ctx context.Context, generation int, revision uint64) bool {
-	timer := time.NewTimer(s.answerTimeout())
+	timer := time.NewTimer(s.fraction(answerTimeout))
 	defer timer.Stop()
 	for {
 		s.mutex.Lock()
--- a/kernel/watch/watch.go
+++ b/kernel/watch/watch.go
@@ -3,15 +3,15 @@
 //
 // A watch that hears nothing may be broken although the service and the connection work.
 // So its silence is no proof that nothing changed: when the watch has not been answered
-// for the check interval, the store reads the revision of the service. If that is newer
-// than the last event, the watch call is made again, and if that call isn't answered at
-// once, all subscribers list their prefixes. If the revision can't be read either, all
-// subscribers get an error. Hence a subscriber has a change, or knows that its state may
-// be old, within about twice the check interval.
+// for a while, the store reads the revision of the service. If that is newer than the last
+// event, the watch call is made again, and if that call isn't answered soon, all
+// subscribers list their prefixes. If the revision can't be read either, all subscribers
+// get an error. Hence a subscriber has a change, or knows that its state may be old, within
+// the apply period of the options. All times are fractions of it.
 //
 // # Usage
 //
-//	store := watch.New(direct, watch.Options{CheckInterval: time.Second}, logger)
+//	store := watch.New(direct, watch.Options{ApplyPeriod: 2 * time.Second}, logger)
 //	changes, err := store.Watch(ctx, "servers/", revision)
 //	age := store.Age() // Since the service last confirmed the state.
 //
@@ -27,6 +27,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/task"
@@ -35,9 +36,12 @@
 const (
 	// maxBufferedEvents is how many events are kept for watchers that lag behind.
 	maxBufferedEvents = 2048
-	// pauseAfterChanges is the pause after a watch call that returned changes. Without
-	// it, each process would make one call for each change that any other one writes.
-	pauseAfterChanges = 100 * time.Millisecond
+	// minPause is the pause after a watch call that returned changes. Without it, each
+	// process would make one call for each change that any other one writes.
+	minPause = 100 * time.Millisecond
+	// maxBurst is how many such calls follow each other after minPause, before the pauses
+	// are as long as maxPause.
+	maxBurst = 12
 	// subscriberWait is how long a subscriber waits for changes.
 	subscriberWait = 3 * time.Second
 	// checkRetryDelay is the pause after a failed read of the revision.
@@ -47,6 +51,25 @@
 	revisionPrefix = "revision/"
 )
 
+// Fractions of the apply period. A change arrives after checkInterval, two times
+// answerTimeout and the listing, or after checkInterval, readTimeout and a second read.
+const (
+	// checkInterval is the time without an answer to the watch after which the revision of
+	// the service is read.
+	checkInterval = 0.6
+	// minCheckInterval is where jitter begins. Hosts get most answers at the same moment;
+	// jitter spreads the reads that follow.
+	minCheckInterval = 0.54
+	// readTimeout bounds a read of the revision.
+	readTimeout = 0.3
+	// answerTimeout bounds the wait for a watch call to return a change that the service
+	// is known to have.
+	answerTimeout = 0.15
+	// maxPause is the pause after a watch call that returned changes while changes go on.
+	// It must be shorter than answerTimeout.
+	maxPause = 0.12
+)
+
 // Outcome is how a watch call ended.
 type Outcome string
 
@@ -62,10 +85,8 @@
 
 // Options configure a Store.
 type Options struct {
-	// CheckInterval is the time without an answer to the watch after which the revision
-	// of the service is read. It should be half of the time in which changes must arrive,
-	// and at least half a second.
-	CheckInterval time.Duration
+	// ApplyPeriod is the time in which changes must arrive, at least one second.
+	ApplyPeriod time.Duration
 }
 
 // Store is a platform.Store whose watches share one watch of the whole service.
@@ -75,6 +96,7 @@
 	logger  *zap.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
+	pauses  *rate.Limiter // Limits the watch calls that returned changes.
 
 	mutex         sync.Mutex
 	running       bool
@@ -94,9 +116,16 @@
 // subscriber.
 func New(direct platform.Store, options Options, logger *zap.Logger) *Store {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Store{
+	s := &Store{
 		Store: direct, options: options, logger: logger, ctx: ctx, cancel: cancel, changed: make(chan struct{}), outcomes: make(map[Outcome]int64),
 	}
+	s.pauses = rate.NewLimiter(rate.Every(s.fraction(maxPause)), maxBurst)
+	return s
+}
+
+// fraction returns a fraction of the apply period.
+func (s *Store) fraction(of float64) time.Duration {
+	return time.Duration(of * float64(s.options.ApplyPeriod))
 }
 
 // Close cancels all watches.
@@ -197,7 +226,7 @@
 			return
 		}
 		if len(changes.Events) > 0 {
-			task.Sleep(ctx, pauseAfterChanges)
+			task.Sleep(ctx, max(minPause, s.pauses.Reserve().Delay()))
 		}
 	}
 }
--- a/kernel/watch/watch_test.go
+++ b/kernel/watch/watch_test.go
@@ -18,10 +18,10 @@
 	"limpethall.dev/kernel/watch"
 )
 
-const checkInterval = time.Second
+const applyPeriod = 2 * time.Second
 
 func newStore(direct platform.Store) *watch.Store {
-	return watch.New(direct, watch.Options{CheckInterval: checkInterval}, zap.NewNop())
+	return watch.New(direct, watch.Options{ApplyPeriod: applyPeriod}, zap.NewNop())
 }
 
 // TestContract checks that a store with a shared watch passes the tests for all stores.
@@ -96,14 +96,14 @@
 
 // TestChangeDuringSilenceArrivesInTime guards against processes that learned of a change
 // only when their watch timed out. The service holds back the watches of 5, 40 and 510
-// processes and then drops its history. All must learn of a change within twice the check
-// interval, and the calls of each must not grow with their number.
+// processes and then drops its history. All must learn of a change within the apply
+// period, and the calls of each must not grow with their number.
 func TestChangeDuringSilenceArrivesInTime(t *testing.T) {
 	const (
 		quiet = 20 * time.Second
-		// One check in four fifths of the interval, and two watch calls in the four
-		// seconds that the service holds them.
-		maxCallRate = 1.25 + 0.5
+		// One check in half of the apply period, and one watch call in the two seconds that
+		// the service holds it.
+		maxCallRate = 1.0 + 0.5
 		prefixes    = 8
 		// The check, the watch call made again twice, and a listing of each prefix.
 		maxCallsToRecover = 4 + 2*prefixes
@@ -136,13 +136,13 @@
 				time.Sleep(600 * time.Millisecond)
 				service.SetFaults(memory.Faults{})
 				service.DropHistory()
-				time.Sleep(2*checkInterval - 600*time.Millisecond)
+				time.Sleep(applyPeriod - 600*time.Millisecond)
 				if got, maximum := (service.Calls()-before)/int64(processes), int64(maxCallsToRecover); got > maximum {
 					t.Errorf("calls of each process to learn of the change: got %d, want at most %d", got, maximum)
 				}
 				for index := 0; index < len(recorders); index += prefixes {
 					at, _ := recorders[index].learnedAt("p0/key")
-					if got, maximum := at.Sub(written), 2*checkInterval; at.IsZero() || got > maximum {
+					if got, maximum := at.Sub(written), applyPeriod; at.IsZero() || got > maximum {
 						t.Fatalf("process %d learned of the change after %s, want at most %s", index/prefixes, got, maximum)
 					}
 				}
@@ -168,9 +168,9 @@
 		service.SetFaults(memory.Faults{})
 		written := time.Now()
 		write(t, service, "p/key")
-		time.Sleep(2 * checkInterval)
+		time.Sleep(applyPeriod)
 		at, replaced := r.learnedAt("p/key")
-		if got, maximum := at.Sub(written), 2*checkInterval; at.IsZero() || got > maximum {
+		if got, maximum := at.Sub(written), applyPeriod; at.IsZero() || got > maximum {
 			t.Errorf("learned of the change after %s, want at most %s", got, maximum)
 		}
 		if got, want := replaced, 1; got != want {
@@ -196,7 +196,7 @@
 		go func() { _ = platform.Follow(ctx, store, "p/", r) }()
 		for number := range 100 {
 			write(t, service, fmt.Sprintf("other/%d", number))
-			time.Sleep(checkInterval / 2)
+			time.Sleep(applyPeriod / 4)
 		}
 		if got, want := counter.lists.Load(), int64(1); got != want {
 			t.Errorf("listings: got %d, want %d, that of the subscriber", got, want)
@@ -224,7 +224,7 @@
 		if !errors.As(err, &unavailable) {
 			t.Errorf("watch: got %v, want an UnavailableError", err)
 		}
-		if got, maximum := time.Since(started), 2*checkInterval+checkInterval/4; got > maximum {
+		if got, maximum := time.Since(started), applyPeriod+applyPeriod/8; got > maximum {
 			t.Errorf("watch returned after %s, want at most %s", got, maximum)
 		}
 	})
