watch: a hall pauses for a quarter of the apply period while changes go on

A pause ends when the call is to be made again. The first twelve answers in a row have the pause of before (0.1 s), so only changes that go on for seconds arrive later.

--- a/kernel/watch/watch.go
+++ b/kernel/watch/watch.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	store := watch.New(direct, watch.Options{ApplyPeriod: 2 * time.Second}, logger)
+//	store := watch.New(direct, watch.Options{ApplyPeriod: 2 * time.Second, Pause: 500 * time.Millisecond}, logger)
 //	changes, err := store.Watch(ctx, "servers/", revision)
 //	age := store.Age() // Since the service last confirmed the state.
 //
@@ -40,7 +40,7 @@
 	// process would make one call for each change that any other one writes.
 	minPause = 100 * time.Millisecond
 	// maxBurst is how many such calls follow each other after minPause, before the pauses
-	// are as long as maxPause.
+	// are those of the options.
 	maxBurst = 12
 	// subscriberWait is how long a subscriber waits for changes.
 	subscriberWait = 3 * time.Second
@@ -65,9 +65,6 @@
 	// answerTimeout bounds the wait for a watch call to return a change that the service
 	// is known to have.
 	answerTimeout = 0.15
-	// maxPause is the pause after a watch call that returned changes while changes go on.
-	// It must be shorter than answerTimeout.
-	maxPause = 0.12
 )
 
 // Outcome is how a watch call ended.
@@ -87,6 +84,9 @@
 type Options struct {
 	// ApplyPeriod is the time in which changes must arrive, at least one second.
 	ApplyPeriod time.Duration
+	// Pause is the pause between watch calls while changes go on. Changes arrive up to
+	// that much later, so it should be a quarter of the apply period at most.
+	Pause time.Duration
 }
 
 // Store is a platform.Store whose watches share one watch of the whole service.
@@ -116,10 +116,11 @@
 // subscriber.
 func New(direct platform.Store, options Options, logger *zap.Logger) *Store {
 	ctx, cancel := context.WithCancel(context.Background())
+	options.Pause = max(minPause, options.Pause)
 	s := &Store{
 		Store: direct, options: options, logger: logger, ctx: ctx, cancel: cancel, changed: make(chan struct{}), outcomes: make(map[Outcome]int64),
 	}
-	s.pauses = rate.NewLimiter(rate.Every(s.fraction(maxPause)), maxBurst)
+	s.pauses = rate.NewLimiter(rate.Every(options.Pause), maxBurst)
 	return s
 }
 
@@ -221,13 +222,15 @@
 		}
 		changes, err := s.Store.Watch(callCtx, "", after)
 		replaced := callCtx.Err() != nil
+		ok = s.endCall(generation, replaced, changes, err, time.Since(started))
+		if ok && len(changes.Events) > 0 {
+			// Ends early if the call is to be made again.
+			task.Sleep(callCtx, max(minPause, s.pauses.Reserve().Delay()))
+		}
 		cancelCall()
-		if !s.endCall(generation, replaced, changes, err, time.Since(started)) {
+		if !ok {
 			return
 		}
-		if len(changes.Events) > 0 {
-			task.Sleep(ctx, max(minPause, s.pauses.Reserve().Delay()))
-		}
 	}
 }
 
--- a/kernel/watch/watch_test.go
+++ b/kernel/watch/watch_test.go
@@ -21,7 +21,7 @@
 const applyPeriod = 2 * time.Second
 
 func newStore(direct platform.Store) *watch.Store {
-	return watch.New(direct, watch.Options{ApplyPeriod: applyPeriod}, zap.NewNop())
+	return watch.New(direct, watch.Options{ApplyPeriod: applyPeriod, Pause: applyPeriod / 4}, zap.NewNop())
 }
 
 // TestContract checks that a store with a shared watch passes the tests for all stores.
