watch: an ended run leaves the call of the next one alone

Found by reading, no failure seen: a run that ended during its pause set the function that cancels the watch call, so that a silent call of the next run could not be replaced, only given up with a listing.

--- a/kernel/watch/watch.go
+++ b/kernel/watch/watch.go
@@ -205,6 +205,7 @@
 	s.events = nil
 	s.afterRevision, s.lastRevision, s.confirmedAt = after, after, time.Now()
 	ctx, cancel := context.WithCancel(s.ctx)
+	s.cancelCall = cancel // Until the first call begins.
 	go s.run(ctx, cancel, s.generation)
 	go s.verify(ctx, s.generation)
 }
@@ -238,8 +239,11 @@
 func (s *Store) beginCall(cancelCall context.CancelFunc, generation int) (after uint64, ok bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !s.isCurrent(generation) {
+		return 0, false
+	}
 	s.cancelCall = cancelCall
-	return s.lastRevision, s.isCurrent(generation)
+	return s.lastRevision, true
 }
 
 // endCall processes the result of a watch call and reports whether the run continues.
