limpet: pass on answers of plain services that end with their connection

Callers of the own interface saw: a whole answer of a plain service that has neither a length nor chunks ended as truncatedAnswer, although the service had run the request.

Cause: the client refused such answers, since their end could not be told from a broken connection.

TestAnswerThatEndsWithItsConnection: red before (whole answer refused), passes; reset, shorter than its length and without the last chunk stay truncated. The platform's client passes on such answers already (TestAnswersThatEndWithTheirConnection).

--- a/limpet/plain/client.go
+++ b/limpet/plain/client.go
@@ -105,20 +105,12 @@
 	if echoed := response.Header.Get(requestIDHeader); echoed != "" && echoed != callID {
 		return nil, failure.New(failure.CodeOutcomeUnknown, failure.Unknown, "the response belongs to a different request")
 	}
-	if endsWithConnection(response) {
-		return nil, failure.New(failure.CodeTruncatedAnswer, failure.Ran, "the response has no length: truncation can't be detected")
-	}
 	onHead(responseHead(response))
 	return readBody(response.Body, onData)
 }
 
-// endsWithConnection reports whether the end of the response is marked only by
-// the end of the connection, so that it can't be distinguished from a broken
-// connection.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
-}
-
+// readBody reads a response to its end. One without a length and without chunks ends with
+// its connection, unless the connection was reset.
 func readBody(body io.Reader, onData func([]byte)) (*wire.End, error) {
 	end := &wire.End{}
 	for {
