--- a/kernel/watch/watch.go
+++ b/kernel/watch/watch.go
@@ -12,7 +12,7 @@
 // # Usage
 //
 //	store := watch.New(direct, watch.Options{ApplyPeriod: 2 * time.Second, Pause: 500 * time.Millisecond}, logger)
-//	changes, err := store.Watch(ctx, "servers/", revision)
+//	changes, err := store.Watch(ctx, "hosts/", revision)
 //	age := store.Age() // Since the service last confirmed the state.
 //
 // A Store logs why its watch ended and counts the outcomes of all watch calls.
