--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-standin review/standin/main.go review/standin/soak.go
+go build -o target/review-standin review/standin/*.go
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -64,9 +64,13 @@
 	cases := map[string]func(*world) int{
 		"rolling":  playRolling,
 		"excluded": playExcluded,
+		"budget":   playBudget,
 		"hangup":   playHangup,
 		"lateturn": playLateTurn,
 		"soak":     playSoak,
+		"retire":   playRetire,
+		"quota":    playQuota,
+		"bytes":    playBytes,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
@@ -147,15 +151,39 @@
 	}
 }
 
-// ownIP is a loopback address of this run alone, so that runs at the same time do not get
-// each other's free ports.
-func ownIP() string {
-	return fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8%254, os.Getpid()%256)
+// ownIP returns a loopback address of this run alone, so that runs at the same time do not
+// get each other's free ports. Where only 127.0.0.1 is set up, it is that one.
+var ownIP = sync.OnceValue(func() string {
+	own := fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8%254, os.Getpid()%256)
+	listener, err := net.Listen("tcp", net.JoinHostPort(own, "0"))
+	if err != nil {
+		return "127.0.0.1"
+	}
+	_ = listener.Close()
+	return own
+})
+
+// firstPort is where the search for free ports begins, below those that the operating
+// system gives to connections.
+const firstPort = 20000
+
+var lastPort atomic.Int64
+
+// listen listens on the next free port, so that no port is handed out twice.
+func listen() net.Listener {
+	for {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ownIP(), strconv.FormatInt(firstPort+lastPort.Add(1), 10)))
+		if err == nil {
+			return listener
+		}
+		if lastPort.Load() > 1000 {
+			panic(fmt.Errorf("%w: no free port: %w", errCannotRun, err))
+		}
+	}
 }
 
 func freeAddress() string {
-	listener, err := net.Listen("tcp", ownIP()+":0")
-	check(err)
+	listener := listen()
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
@@ -169,8 +197,7 @@
 }
 
 func serve(handler http.Handler) (address string) {
-	listener, err := net.Listen("tcp", ownIP()+":0")
-	check(err)
+	listener := listen()
 	go func() { _ = (&http.Server{Handler: handler}).Serve(listener) }()
 	return listener.Addr().String()
 }
@@ -275,6 +302,7 @@
 	cut     atomic.Pointer[context.CancelFunc]
 	process *exec.Cmd
 	exited  chan struct{}
+	busy    sync.Mutex // Held by the soak while the machine is disturbed.
 }
 
 func (w *world) newMachine(program string, index int, control string, _ []string) *machine {
@@ -661,25 +689,77 @@
 			previous[index] = a.id
 		}
 	})
-	turnedAway, wiped := w.keepers[0], w.keepers[1]
+	w.turnAwayAndWipe()
+	code := w.judgeContinuations(previous)
 	if w.trouble {
-		turnedAway.refuse(true)
-		time.Sleep(3400 * time.Millisecond)
-		wiped.kill()
-		check(os.RemoveAll(wiped.dataDir))
-		check(os.MkdirAll(wiped.dataDir, 0o755))
-		w.log("%s lost its disk", wiped.name)
-		time.Sleep(1200 * time.Millisecond)
-		wiped.start(false)
-		time.Sleep(2400 * time.Millisecond)
-	} else {
+		w.keepers[0].refuse(false)
+	}
+	return code
+}
+
+// turnAwayAndWipe lets the store turn the first keeper away until further notice, and wipes
+// the disk of the second one meanwhile.
+func (w *world) turnAwayAndWipe() {
+	if !w.trouble {
 		time.Sleep(7 * time.Second)
+		return
 	}
-	code := w.judgeContinuations(previous)
+	turnedAway, wiped := w.keepers[0], w.keepers[1]
+	turnedAway.refuse(true)
+	time.Sleep(3400 * time.Millisecond)
+	wiped.kill()
+	check(os.RemoveAll(wiped.dataDir))
+	check(os.MkdirAll(wiped.dataDir, 0o755))
+	w.log("%s lost its disk", wiped.name)
+	time.Sleep(1200 * time.Millisecond)
+	wiped.start(false)
+	time.Sleep(2400 * time.Millisecond)
+}
+
+// playBudget lets programs use up their token budgets, disturbs two keepers as playExcluded
+// does, and lets the programs come back.
+func playBudget(w *world) int {
+	const (
+		programs = 48
+		small    = 4608
+	)
+	tokens := make([]int, programs)
+	use := func(name string) {
+		forAll(programs, func(index int) {
+			for range 24 {
+				a := w.sendTurn(w.halls[index%len(w.halls)], turn{program: programName("p", index), input: "loop\n", path: quickPath, budget: small})
+				tokens[index] += len(a.events) * 18 // ChunkTokens.
+				if a.status == http.StatusPaymentRequired {
+					return
+				}
+			}
+		})
+		w.log("%s: tokens handed to each program: %v", name, tokens)
+	}
+	use("first")
+	time.Sleep(500 * time.Millisecond)
+	for _, handed := range tokens {
+		if handed == 0 || handed > small+maxTokens {
+			panic(fmt.Errorf("%w: a program got %d tokens before the disruption", errCannotRun, handed))
+		}
+	}
+	w.turnAwayAndWipe()
+	use("after it came back")
 	if w.trouble {
-		turnedAway.refuse(false)
+		w.keepers[0].refuse(false)
 	}
-	return code
+	exceeded := 0
+	for index, handed := range tokens {
+		if handed > small+maxTokens {
+			w.log("program %s got %d tokens; its budget is %d, and a turn has %d at most", programName("p", index), handed, small, maxTokens)
+			exceeded++
+		}
+	}
+	w.log("programs that got more than their budget and one turn: %d of %d", exceeded, programs)
+	if exceeded > 0 {
+		return broken
+	}
+	return held
 }
 
 // playHangup stops a hall with SIGTERM while it relays streams, and lets its settings file
--- a/review/standin/soak.go
+++ b/review/standin/soak.go
@@ -33,7 +33,6 @@
 	promised map[string]string // Requests that were promised not to run, and the answer.
 	lasts    map[string]string
 	count    atomic.Int64
-	wiping   sync.Mutex // Held while a process is started or ended.
 }
 
 func (s *soak) fault(kind, format string, args ...any) {
@@ -64,7 +63,10 @@
 		if os.Getenv("OVERLAP") == "1" {
 			group.Go(func() { s.wipe(rand.New(rand.NewPCG(seed, 2000))) })
 		}
-		s.disturb(rand.New(rand.NewPCG(seed, 1000)))
+		if os.Getenv("OVERLAP") == "2" {
+			group.Go(func() { s.disturb(rand.New(rand.NewPCG(seed, 3000)), true) })
+		}
+		s.disturb(rand.New(rand.NewPCG(seed, 1000)), false)
 	} else {
 		time.Sleep(soakFor)
 	}
@@ -209,21 +211,23 @@
 func (s *soak) wipe(random *rand.Rand) {
 	for until := time.Now().Add(soakFor - 10*time.Second); time.Now().Before(until); {
 		time.Sleep(time.Duration(2000+random.IntN(4000)) * time.Millisecond)
-		s.wiping.Lock()
 		keeper := s.keepers[random.IntN(len(s.keepers))]
+		if !keeper.busy.TryLock() {
+			continue
+		}
 		keeper.kill()
 		check(os.RemoveAll(keeper.dataDir))
 		check(os.MkdirAll(keeper.dataDir, 0o755))
 		s.log("%s lost its disk", keeper.name)
 		time.Sleep(time.Duration(800+random.IntN(1200)) * time.Millisecond)
 		keeper.start(false)
-		s.wiping.Unlock()
+		keeper.busy.Unlock()
 		time.Sleep(12 * time.Second)
 	}
 }
 
-// disturb disturbs one machine, or the store, at a time.
-func (s *soak) disturb(random *rand.Rand) {
+// disturb disturbs one machine, or the store, at a time. busy leaves the store alone.
+func (s *soak) disturb(random *rand.Rand, busy bool) {
 	between := func(low, high int) time.Duration {
 		return time.Duration(low+random.IntN(high-low)) * time.Millisecond
 	}
@@ -231,24 +235,30 @@
 		time.Sleep(between(300, 1500))
 		keeper, hall := s.keepers[random.IntN(len(s.keepers))], s.halls[random.IntN(len(s.halls))]
 		choice := random.IntN(13)
-		if os.Getenv("OVERLAP") == "1" && (choice == 3 || choice == 4) {
+		if os.Getenv("OVERLAP") != "" && (choice == 3 || choice == 4) {
 			choice = 6
 		}
+		if choice > 9 && busy { // One of the two plays disturbs the store.
+			continue
+		}
+		target := keeper
+		if choice >= 7 {
+			target = hall
+		}
+		if !target.busy.TryLock() {
+			continue
+		}
 		switch choice {
 		case 0, 1:
-			s.wiping.Lock()
 			keeper.kill()
 			time.Sleep(between(300, 3000))
 			keeper.start(false)
-			s.wiping.Unlock()
 			time.Sleep(catchUp)
 		case 2:
-			s.wiping.Lock()
 			keeper.signal(syscall.SIGTERM)
 			<-keeper.exited
 			time.Sleep(between(300, 1000))
 			keeper.start(false)
-			s.wiping.Unlock()
 			time.Sleep(catchUp)
 		case 3, 4:
 			keeper.kill()
@@ -259,11 +269,9 @@
 			keeper.start(false)
 			time.Sleep(catchUp)
 		case 5:
-			s.wiping.Lock()
 			keeper.signal(syscall.SIGSTOP)
 			time.Sleep(between(500, 3200))
 			keeper.signal(syscall.SIGCONT)
-			s.wiping.Unlock()
 			time.Sleep(catchUp)
 		case 6:
 			keeper.refuse(true)
@@ -290,6 +298,7 @@
 		case 12:
 			s.setFaults(memory.Faults{DelayMilliseconds: 240}, between(1000, 4500))
 		}
+		target.busy.Unlock()
 	}
 }
 
