--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -63,6 +63,7 @@
 func main() {
 	cases := map[string]func(*world) int{
 		"rolling":  playRolling,
+		"added":    playAdded,
 		"excluded": playExcluded,
 		"budget":   playBudget,
 		"hangup":   playHangup,
@@ -83,7 +84,7 @@
 	}
 	// A run that was started with SIGHUP ignored would hand that on to the processes.
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
-	w := &world{record: record, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{name: os.Args[1], record: record, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -99,6 +100,7 @@
 
 // world is the deployment and its record.
 type world struct {
+	name    string // Of the case.
 	began   time.Time
 	trouble bool
 	dir     string
@@ -209,7 +211,7 @@
 	address string
 }
 
-// start starts the store, two engines, four keepers and two halls, as on a small site.
+// start starts the store, the engines, four keepers and the halls, as on a small site.
 func (w *world) start() {
 	w.memory = memory.New(time.Now)
 	w.store = standin.NewStore(w.memory)
@@ -221,23 +223,27 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}()
-	for index := range 2 {
+	engines := max(2, enginesOf[w.name])
+	for index := range engines {
 		engine := &engineHost{id: fmt.Sprintf("i-%d", index)}
 		engine.Engine = standin.NewEngine(standin.EngineOptions{ID: engine.id, Service: "models", Zone: zone(index), Version: "v1", Events: eventsEach, EventPause: 8 * time.Millisecond})
 		engine.address = serve(engine.Engine)
 		w.engines = append(w.engines, engine)
 		check(w.store.Put(ctx, "servers/"+engine.id, engine.Entry(engine.address, "ready")))
-		go w.heartbeats(engine)
+		go w.heartbeats(engine, heartbeat*time.Duration(index)/time.Duration(engines))
 	}
 	seeds := []string{freeAddress(), freeAddress()}
+	for range hallsOf[w.name] - len(seeds) {
+		seeds = append(seeds, freeAddress())
+	}
 	for index := range 4 {
 		w.keepers = append(w.keepers, w.newMachine("keeper", index, "", nil))
 	}
-	for index := range 2 {
-		w.halls = append(w.halls, w.newMachine("hall", index, seeds[index], seeds))
+	for index, seed := range seeds {
+		w.halls = append(w.halls, w.newMachine("hall", index, seed, seeds))
 	}
 	for _, m := range append(append([]*machine{}, w.keepers...), w.halls...) {
-		m.seeds = seeds
+		m.seeds = seeds[:min(3, len(seeds))]
 		m.start(true)
 	}
 	w.waitUntil("all halls are ready", readyWithin, func() bool {
@@ -252,8 +258,9 @@
 	time.Sleep(3 * time.Second)
 }
 
-// heartbeats writes an engine's entry as the engine does.
-func (w *world) heartbeats(engine *engineHost) {
+// heartbeats writes an engine's entry as the engine does, beginning after a delay.
+func (w *world) heartbeats(engine *engineHost, delay time.Duration) {
+	time.Sleep(delay)
 	for seq := 2; ; seq++ {
 		time.Sleep(heartbeat)
 		document := engine.Entry(engine.address, "ready").(map[string]any)
@@ -262,7 +269,13 @@
 	}
 }
 
-func zone(index int) string { return fmt.Sprintf("zone-%c", 'a'+index) }
+// hallsOf and enginesOf are how many halls and model engines a case has, if more than two.
+var (
+	hallsOf   = map[string]int{"added": 5}
+	enginesOf = map[string]int{"added": 12}
+)
+
+func zone(index int) string { return fmt.Sprintf("zone-%c", 'a'+index%4) }
 
 func configuration() any {
 	route := func(prefix string, options map[string]any) map[string]any {
