--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-standin lateturn "review/4/record.txt"
+exec target/review-standin hangup "review/4/record.txt"
