--- a/kernel/command/command.go
+++ b/kernel/command/command.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+
+	_ "limpethall.dev/kernel/signals" // Other signals than requests to end don't end the process.
 )
 
 // Version is the version of all programs of this repository.
--- /dev/null
+++ b/kernel/signals/signals_linux.go
@@ -0,0 +1,8 @@
+package signals
+
+import (
+	"os/signal"
+	"syscall"
+)
+
+func init() { signal.Ignore(syscall.SIGSTKFLT) }
--- a/limpet/cmd/limpet/cmds/cmds.go
+++ b/limpet/cmd/limpet/cmds/cmds.go
@@ -13,7 +13,6 @@
 
 	"limpethall.dev/kernel/command"
 	_ "limpethall.dev/kernel/footprint" // Reduces the address space.
-	_ "limpethall.dev/kernel/hangup"    // SIGHUP does not end the process.
 	"limpethall.dev/kernel/logs"
 	"limpethall.dev/kernel/network"
 	_ "limpethall.dev/kernel/platform/httpjson" // Store plug-in.
