signals: end with exit code 0 on SIGTERM before the program handles it

A program that was asked to stop right after its start was ended by the signal, as if it had crashed.

Cause: SIGTERM and SIGINT have their default action until the program handles them, after it has read its settings.

Change: the function in .preinit_array installs a handler for both that ends the process with exit code 0, if the first argument is "run".

Why it works: nothing has been started by then. The Go runtime replaces the handler by its own one and calls it for a signal that nobody has asked os/signal for, so there is no moment without a handler.

--- a/kernel/command/command.go
+++ b/kernel/command/command.go
@@ -17,7 +17,7 @@
 
 	"github.com/integrii/flaggy"
 
-	_ "limpethall.dev/kernel/signals" // Other signals than requests to end don't end the process.
+	_ "limpethall.dev/kernel/signals" // Only SIGTERM and SIGINT end the process, with exit code 0.
 )
 
 // Version is the version of all programs of this repository.
--- a/kernel/signals/early_cgo.go
+++ b/kernel/signals/early_cgo.go
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stddef.h>
 #include <string.h>
+#include <unistd.h>
 
 // SIGHUP is the last one: where it is ignored, the others are set.
 static const int ignoredSignals[] = {
@@ -43,11 +44,27 @@
 }
 
 #ifdef __GLIBC__
+static void endProcess(int number) {
+	(void)number;
+	_exit(0);
+}
+
+static void setSignals(int count, char **arguments, char **environment) {
+	(void)environment;
+	if (count > 1 && strcmp(arguments[1], "run") == 0) {
+		// The Go runtime replaces the handler by its own one, which calls it as long as
+		// the program does not handle the signal.
+		replaceDefault(SIGTERM, endProcess);
+		replaceDefault(SIGINT, endProcess);
+	}
+	ignoreSignals();
+}
+
 // The functions of this section run before the constructors of the shared libraries.
 __attribute__((section(".preinit_array"), used))
-static void (*const ignoreSignalsEntry)(void) = ignoreSignals;
+static void (*const setSignalsEntry)(int, char **, char **) = setSignals;
 #else
-__attribute__((constructor)) static void ignoreSignalsEntry(void) { ignoreSignals(); }
+__attribute__((constructor)) static void setSignals(void) { ignoreSignals(); }
 #endif
 */
 import "C"
--- a/kernel/signals/signals.go
+++ b/kernel/signals/signals.go
@@ -1,4 +1,4 @@
-// Package signals keeps signals that are no request to end from ending the process.
+// Package signals keeps signals from ending the process other than as it was asked to.
 //
 // Importing the package is enough for the following. With cgo and the GNU C library it holds
 // from the first code of the executable, before the initialization of the shared libraries
@@ -7,6 +7,9 @@
 //   - Signals that nobody sends to end a process, such as SIGHUP, SIGUSR1, SIGALRM, SIGIO and
 //     the real-time signals, don't end it, although this is their default action. Signals that
 //     report a fault of the program keep theirs, and so does SIGQUIT.
+//   - SIGTERM and SIGINT end a program whose first argument is "run" with exit code 0 until
+//     it has called [signal.Notify] for them. Other commands, such as check, have nothing to
+//     stop; the signals have their default action there.
 //   - A signal that has a handler, or that the parent process ignores, is left as it is.
 //
 // Without cgo, and for SIGSTKFLT, the signals are ignored once the package is initialized. The
