ratelimit: a stopping hall leaves the share to its successor

Callers saw nothing yet: the process before had all addresses until its end, so two processes of one hall never held shares at the same time.

Cause, in reading Leave: it removes the entry of the hall's name from the share table, also if the successor has confirmed it. The successor spends its share until it sees the change, while others have it already, so both count.

Leave now gives away only an entry of its own incarnation or an earlier one. Its write is a compare-and-swap on the listed table, so a successor that confirms meanwhile makes it fail.

--- a/hall/ratelimit/share_manager.go
+++ b/hall/ratelimit/share_manager.go
@@ -276,7 +276,8 @@
 			successors = append(successors, limit.NewHolder(hall, incarnation, entry.Version))
 		}
 	}
-	if _, listed := shares.Lookup(m.hall); listed && len(successors) > 0 {
+	// A newer incarnation may run already, which has confirmed the entry.
+	if own, listed := shares.Lookup(m.hall); listed && own.Holder().Incarnation() <= m.incarnation && len(successors) > 0 {
 		if err := m.saveShares(ctx, shares.Remove(m.hall, successors), table.Version); err != nil {
 			return err
 		}
--- a/hall/ratelimit/share_manager_test.go
+++ b/hall/ratelimit/share_manager_test.go
@@ -207,3 +207,39 @@
 		}
 	})
 }
+
+// TestLeaveKeepsShareOfNewerIncarnation guards against a hall that gives away, as it stops,
+// the share that its successor already spends: the two would count twice.
+func TestLeaveKeepsShareOfNewerIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		store := memory.New(time.Now)
+		start := func(hall string, incarnation uint64) (*ratelimit.ShareManager, *ratelimit.Limiter) {
+			manager := ratelimit.NewShareManager(store, hall, incarnation, func(time.Time) bool { return true }, zap.NewNop())
+			limiter := ratelimit.New(nil, manager.ShareValid, 0, time.Now)
+			manager.SetLimiter(limiter)
+			go func() { _ = manager.Register(ctx) }()
+			go func() { _ = manager.Follow(ctx) }()
+			time.Sleep(5 * time.Second)
+			return manager, limiter
+		}
+		stopping, _ := start("hall-0", 1)
+		start("hall-1", 1)
+		_, successor := start("hall-0", 2)
+		want := successor.ShareParts()
+		if want == 0 {
+			t.Fatal("share of the successor: got none, want a part")
+		}
+		if err := stopping.Leave(ctx); err != nil {
+			t.Errorf("leave: got %v, want no error", err)
+		}
+		for range 100 {
+			time.Sleep(time.Millisecond)
+			if got := successor.ShareParts(); got != want {
+				t.Fatalf("share of the successor after its predecessor has left: got %d parts, want %d", got, want)
+			}
+		}
+	})
+}
