network: listen on the first free internal port, and wait without holding up the rest

The wait was logged once.

Cause: only the first port of the range was used, and a hall opened its addresses one after the other, each with a wait without end. A refusal other than EADDRINUSE and EADDRNOTAVAIL (no descriptor or memory left) ended the process with exit code 1.

Both programs listen on the first free port of the range, tried in turns, and register with the address at which they listen: the hall's entry on the roster, the keeper's member entry, live key and Identify. The range is limited to 256 ports. A keeper that is on the list with another address updates its entry; its disk stays complete, as it missed no more than one that was down.

A hall waits in the background. Without its readiness or control address it serves. Without its address for clients, or while the whole range is taken, it takes no part: no entry on the roster, no share, not ready. SIGTERM during the wait ends the process at once with exit code 0. Waits are logged every 10 s and counted in limpethall_{hall,keeper}_addresses_unavailable. Free addresses are opened during Start as before.

TestHallWaitsForItsAddresses stated that a hall takes no part, and Start does not return, before it has all addresses. The new rule: Start never waits; what the hall needs keeps it from taking part (TestHallTakesNoPartWithoutNeededAddress, with the checks of the old test for 20 s instead of once, and readiness), and what it does not need keeps it from nothing (TestHallServesWithoutOtherAddress).

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -70,9 +70,10 @@
 
 // Options configure a keeper.
 type Options struct {
-	Name    string
-	Zone    string
-	Address string
+	Name string
+	Zone string
+	// Addresses are the addresses of which the keeper uses the first that is available.
+	Addresses []string
 	// DataDir is the directory of the record store.
 	DataDir string
 	// Bootstrap is set when the whole system starts for the first time, so that
@@ -80,7 +81,7 @@
 	Bootstrap bool
 	// Tolerance is the number of disks that may be lost at once.
 	Tolerance int
-	Network   network.Network
+	Network   *network.Waiting
 	Store     platform.Store
 	// Meters collects the keeper's metrics, which are served at /metrics.
 	Meters *metrics.Meters
@@ -90,6 +91,7 @@
 // Keeper is a keeper process.
 type Keeper struct {
 	options     Options
+	listener    net.Listener
 	logger      *zap.Logger
 	rule        replication.Rule
 	archive     *archive.Archive
@@ -114,8 +116,8 @@
 	sources map[string]bool
 }
 
-// New opens the record store, once no other process uses it. The keeper serves no requests
-// before Start.
+// New opens the record store and an address, once no other process uses them. The keeper
+// serves no requests before Start.
 func New(ctx context.Context, options Options) (*Keeper, error) {
 	disk, err := archive.Open(ctx, options.DataDir, options.Logger)
 	if err != nil {
@@ -125,13 +127,17 @@
 	if err != nil {
 		return nil, errors.Join(oops.In("keeper").Wrapf(err, "load the records in %s", options.DataDir), disk.Close())
 	}
-	instruments, err := newInstruments(options.Meters.Meter(), records)
+	instruments, err := newInstruments(options.Meters.Meter(), records, options.Network)
 	if err != nil {
 		return nil, errors.Join(err, disk.Close())
 	}
+	listener, err := options.Network.ListenFirst(ctx, options.Addresses)
+	if err != nil {
+		return nil, errors.Join(oops.In("keeper").Wrapf(err, "listen for halls and keepers"), disk.Close())
+	}
 	transport := &http.Transport{DialContext: options.Network.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	k := &Keeper{
-		options: options, logger: options.Logger, rule: replication.NewRule(options.Tolerance),
+		options: options, listener: listener, logger: options.Logger, rule: replication.NewRule(options.Tolerance),
 		archive: disk, ledger: records, instruments: instruments, membership: replication.NewMembership(options.Store, options.Logger),
 		transport: transport, client: &http.Client{Transport: transport}, leaving: make(chan struct{}),
 	}
@@ -141,7 +147,7 @@
 		k.copied.Store(list)
 		k.membership.Adopt(list)
 	}
-	k.registrar = host.NewRegistrar(options.Store, replication.LivenessPrefix+options.Name, []byte(options.Address), livenessLease, options.Logger)
+	k.registrar = host.NewRegistrar(options.Store, replication.LivenessPrefix+options.Name, []byte(k.address()), livenessLease, options.Logger)
 	mux := http.NewServeMux()
 	mux.Handle("/", wire.NewKeeperServer(k))
 	mux.Handle("/metrics", options.Meters.Handler())
@@ -151,19 +157,15 @@
 
 // Start starts serving requests and adds the keeper to the member list.
 func (k *Keeper) Start(ctx context.Context) error {
-	listener, err := k.options.Network.Listen(k.options.Address)
-	if err != nil {
-		return oops.In("keeper").Wrapf(err, "listen on %s", k.options.Address)
-	}
 	turns, programs := k.ledger.Counts()
-	k.logger.Info("starting keeper", zap.String("name", k.options.Name), zap.String("address", k.options.Address),
+	k.logger.Info("starting keeper", zap.String("name", k.options.Name), zap.String("address", k.address()),
 		zap.Int("turns", turns), zap.Int("programs", programs), zap.Bool("firstStart", k.options.Bootstrap), zap.Bool("ready", k.ledger.Ready()))
 	if k.options.Bootstrap && k.ledger.Empty() {
 		if err := k.ledger.SetReady(true); err != nil {
 			return oops.In("keeper").Wrapf(err, "mark the disk as complete")
 		}
 	}
-	go k.serve(listener)
+	go k.serve()
 	k.tasks = task.New(ctx, k.logger)
 	k.tasks.Go("members", k.membership.Follow)
 	k.tasks.Go("live key", k.registrar.Run)
@@ -264,17 +266,20 @@
 
 // Identify implements wire.Keeper.
 func (k *Keeper) Identify(context.Context, *wire.Empty) (*wire.KeeperEntry, error) {
-	return &wire.KeeperEntry{Name: k.options.Name, Zone: k.options.Zone, Address: k.options.Address}, nil
+	return &wire.KeeperEntry{Name: k.options.Name, Zone: k.options.Zone, Address: k.address()}, nil
 }
 
-func (k *Keeper) serve(listener net.Listener) {
-	if err := k.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+// address returns the address at which halls and keepers reach this keeper.
+func (k *Keeper) address() string { return k.listener.Addr().String() }
+
+func (k *Keeper) serve() {
+	if err := k.server.Serve(k.listener); !errors.Is(err, http.ErrServerClosed) {
 		k.logger.Error("keeper's server failed", zap.Error(err))
 	}
 }
 
 func (k *Keeper) memberDocument(leaving bool) replication.MemberDocument {
-	return replication.MemberDocument{Name: k.options.Name, Zone: k.options.Zone, Address: k.options.Address, Leaving: leaving}
+	return replication.MemberDocument{Name: k.options.Name, Zone: k.options.Zone, Address: k.address(), Leaving: leaving}
 }
 
 func (k *Keeper) expire(context.Context) {
--- a/keeper/metrics.go
+++ b/keeper/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"limpethall.dev/keeper/ledger"
+	"limpethall.dev/kernel/network"
 )
 
 // instruments record the number and the duration of calls from halls.
@@ -17,8 +18,8 @@
 }
 
 // newInstruments returns the instruments and registers gauges for the contents of
-// the ledger.
-func newInstruments(meter metric.Meter, records *ledger.Ledger) (*instruments, error) {
+// the ledger and the listener.
+func newInstruments(meter metric.Meter, records *ledger.Ledger, net *network.Waiting) (*instruments, error) {
 	i := &instruments{}
 	var err error
 	if i.calls, err = meter.Int64Counter("limpethall.keeper.calls", metric.WithDescription("Calls of halls by what they asked and the verdict.")); err != nil {
@@ -44,18 +45,23 @@
 	if err != nil {
 		return nil, err
 	}
+	unavailable, err := meter.Int64ObservableGauge("limpethall.keeper.addresses.unavailable", metric.WithDescription("Addresses that this keeper waits for."))
+	if err != nil {
+		return nil, err
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
 		turnCount, programCount := records.Counts()
 		observer.ObserveInt64(turns, int64(turnCount))
 		observer.ObserveInt64(programs, int64(programCount))
 		observer.ObserveInt64(gaps, int64(len(records.Gaps())))
+		observer.ObserveInt64(unavailable, int64(net.Unavailable()))
 		readyValue := int64(0)
 		if records.Ready() {
 			readyValue = 1
 		}
 		observer.ObserveInt64(ready, readyValue)
 		return nil
-	}, turns, programs, gaps, ready)
+	}, turns, programs, gaps, ready, unavailable)
 	return i, err
 }
 
--- a/keeper/replication.go
+++ b/keeper/replication.go
@@ -75,8 +75,9 @@
 }
 
 // ensureListed adds this keeper to the member list if needed and reports whether
-// it is listed. A keeper that was removed from the list has missed records that
-// other keepers stored in its place, so its disk is marked as incomplete first.
+// it is listed with its address. A keeper that was removed from the list has missed
+// records that other keepers stored in its place, so its disk is marked as incomplete
+// first.
 func (k *Keeper) ensureListed(ctx context.Context) bool {
 	if !k.membership.Synced() {
 		return false
@@ -86,13 +87,15 @@
 		return true
 	default:
 	}
-	if slices.ContainsFunc(k.membership.List().Active(), func(m replication.Keeper) bool {
-		return m.Name == k.options.Name && m.Address == k.options.Address
-	}) {
+	active := k.membership.List().Active()
+	position := slices.IndexFunc(active, func(m replication.Keeper) bool { return m.Name == k.options.Name })
+	listed := position >= 0
+	if listed && active[position].Address == k.address() {
 		k.joined = true
 		return true
 	}
-	if !k.options.Bootstrap || k.joined || k.copied.Load() != nil {
+	// A listed keeper at another address has missed no more than one that was merely down.
+	if !listed && (!k.options.Bootstrap || k.joined || k.copied.Load() != nil) {
 		if err := k.ledger.SetReady(false); err != nil {
 			k.logger.Error("failed to mark the disk as incomplete", zap.Error(err))
 			return false
@@ -102,7 +105,7 @@
 		k.logger.Warn("failed to add keeper to the member list", zap.Error(err))
 		return false
 	}
-	k.logger.Info("added keeper to the member list", zap.String("name", k.options.Name))
+	k.logger.Info("added keeper to the member list", zap.String("name", k.options.Name), zap.String("address", k.address()), zap.Bool("addressChanged", listed))
 	return false // The watch delivers the changed list.
 }
 
--- a/kernel/network/network_test.go
+++ b/kernel/network/network_test.go
@@ -4,10 +4,14 @@
 	"context"
 	"errors"
 	"net"
+	"os"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"limpethall.dev/kernel/network"
 )
@@ -43,6 +47,53 @@
 	}
 }
 
+// refusingNetwork refuses to listen for the given number of attempts.
+type refusingNetwork struct {
+	network.TCP
+	attempts int
+	err      error
+}
+
+func (n *refusingNetwork) Listen(address string) (net.Listener, error) {
+	if n.attempts--; n.attempts >= 0 {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: os.NewSyscallError("socket", n.err)}
+	}
+	return n.TCP.Listen(address)
+}
+
+// TestListenOutlastsRefusals guards against processes that end by themselves because the
+// operating system refuses a socket for a moment, and against waits that are logged once or
+// too often.
+func TestListenOutlastsRefusals(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EACCES} {
+		synctest.Test(t, func(t *testing.T) {
+			core, logs := observer.New(zap.WarnLevel)
+			waiting := network.NewWaiting(t.Context(), &refusingNetwork{attempts: 300, err: errno}, zap.New(core))
+			if _, err := waiting.TryListen([]string{"127.0.0.1:0"}); !errors.As(err, new(*network.UnavailableError)) {
+				t.Errorf("one attempt with %v: got %v, want an UnavailableError", errno, err)
+			}
+			go func() {
+				time.Sleep(time.Minute)
+				if got := waiting.Unavailable(); got != 1 {
+					t.Errorf("unavailable addresses with %v: got %d, want 1", errno, got)
+				}
+			}()
+			start := time.Now()
+			listener, err := waiting.ListenFirst(t.Context(), []string{"127.0.0.1:0"})
+			if err != nil {
+				t.Fatalf("listen with %v: got %v, want it to wait", errno, err)
+			}
+			_ = listener.Close()
+			if got, took := logs.Len(), time.Since(start); got < int(took/(11*time.Second)) || got > 1+int(took/(9*time.Second)) {
+				t.Errorf("log lines in %s: got %d, want one each 10 s", took, got)
+			}
+			if got := waiting.Unavailable(); got != 0 {
+				t.Errorf("unavailable addresses after the wait: got %d, want 0", got)
+			}
+		})
+	}
+}
+
 // TestListenOnLocalPortOfConnection guards against processes that can't start because a
 // connection of another process got the port in their settings as its local port.
 func TestListenOnLocalPortOfConnection(t *testing.T) {
