Settings: wait at the start for a file that can be used

Callers saw hosts that never served: halls and keepers ended with exit code 2 when their settings file was missing, empty or half written as they started, though it was whole 0.2 s later.

Cause: run checked the file once and ended.

Changed: kernel/settingsfile reads the file every 50 ms until it can be used, logs at once and each 10 s why it waits, and ends if the process is asked to stop. A read that the file system doesn't answer, as of a named pipe, blocks neither the log nor the stop. A file is used once two reads 20 ms apart are equal: a file that was cut at the end of a line may still be valid, and a process must not run with defaults for what came after. So a start costs 20 ms more and depends on no clock. `hall` and `limpet` of the own interface share the wait. check has exit code 2, as before.

--- a/hall/cmd/hall/cmds/cmds.go
+++ b/hall/cmd/hall/cmds/cmds.go
@@ -19,6 +19,7 @@
 	"limpethall.dev/kernel/network"
 	_ "limpethall.dev/kernel/platform/httpjson" // Registers the store and host list plug-ins.
 	"limpethall.dev/kernel/settings"
+	"limpethall.dev/kernel/settingsfile"
 )
 
 // stopTimeout limits the duration of a graceful stop.
@@ -40,10 +41,16 @@
 }
 
 func run(ctx context.Context, path string) error {
-	config := hall.DefaultSettings()
-	if err := settings.Load(path, &config); err != nil {
-		return err
+	parse := func(text []byte) (hall.Settings, error) {
+		config := hall.DefaultSettings()
+		err := settings.Parse(path, string(text), &config)
+		return config, err
+	}
+	content, err := settingsfile.Await(ctx, path, parse, logs.New(hall.DefaultSettings().Log, os.Stderr).Logger("settings"))
+	if err != nil {
+		return command.UnlessStopped(ctx, err)
 	}
+	config := content.Value()
 	store, err := config.Store.Open(network.TCP{})
 	if err != nil {
 		return err
--- a/kernel/command/command.go
+++ b/kernel/command/command.go
@@ -37,8 +37,8 @@
 	DefaultPath string
 	// Check loads and validates a settings file.
 	Check func(path string) error
-	// Run serves until the context is canceled and then shuts down gracefully
-	// within a timeout of its own choice.
+	// Run waits for a settings file that Check accepts, serves until the context is
+	// canceled, and then shuts down gracefully within a timeout of its own choice.
 	Run func(ctx context.Context, path string) error
 }
 
@@ -85,9 +85,6 @@
 }
 
 func (p Program) serve(path string) int {
-	if err := p.Check(path); err != nil {
-		return PrintInvalid(err)
-	}
 	// Without this, the process ends when the reader of its output goes away.
 	signal.Ignore(syscall.SIGPIPE)
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/kernel/settingsfile/settingsfile.go
@@ -0,0 +1,152 @@
+// Package settingsfile reads the settings file of a process that starts. The file may
+// appear, or be completed, only after the process has started, so it is read until it can
+// be used.
+//
+// # Usage
+//
+//	content, err := settingsfile.Await(ctx, path, parse, logger) // err only if ctx ends.
+//	start(content.Value())
+package settingsfile
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethall.dev/kernel/task"
+)
+
+const (
+	// retryInterval is the interval between reads of a file that cannot be used.
+	retryInterval = 50 * time.Millisecond
+	// settleInterval is the interval between the two reads that must be equal.
+	settleInterval = 20 * time.Millisecond
+	// logInterval is the interval at which a file that cannot be used is logged.
+	logInterval = 10 * time.Second
+	// readTimeout is how long a read may take before it counts as failed.
+	readTimeout = time.Second
+	// maxSize limits the size of the file.
+	maxSize = 256 << 10
+)
+
+// TooLargeError reports a file that is too large for a settings file.
+type TooLargeError struct{ path string }
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("%s: larger than %d bytes", e.path, maxSize)
+}
+
+// TimeoutError reports a read that has not returned yet.
+type TimeoutError struct{ path string }
+
+// Error implements error.
+func (e *TimeoutError) Error() string {
+	return fmt.Sprintf("read %s: not finished after %s", e.path, readTimeout)
+}
+
+// Content is what was read from a settings file.
+type Content[T any] struct {
+	text  []byte
+	value T
+}
+
+// Value returns the settings.
+func (c *Content[T]) Value() T { return c.value }
+
+// Await reads the file until parse accepts it and two reads in a row are equal, so that a
+// file that is being written is not used before its end. It logs why it waits. It returns
+// an error only if ctx ends.
+func Await[T any](ctx context.Context, path string, parse func(text []byte) (T, error), logger *zap.Logger) (*Content[T], error) {
+	logger = logger.With(zap.String("path", path))
+	reader := &reader{path: path}
+	started := time.Now()
+	var logged time.Time
+	var previous *Content[T]
+	for {
+		current, err := read(ctx, reader, parse)
+		interval := settleInterval
+		switch {
+		case ctx.Err() != nil:
+			return nil, ctx.Err()
+		case err != nil:
+			interval = retryInterval
+			if logged.IsZero() || time.Since(logged) >= logInterval {
+				logged = time.Now()
+				logger.Warn("settings file cannot be used, waiting for it", zap.Error(err), zap.Time("since", started), zap.Duration("waited", time.Since(started)))
+			}
+		case previous != nil && bytes.Equal(previous.text, current.text):
+			if !logged.IsZero() {
+				logger.Info("settings file read", zap.Duration("waited", time.Since(started)))
+			}
+			return current, nil
+		}
+		previous = current
+		task.Sleep(ctx, interval)
+	}
+}
+
+// read returns nil and an error if the file cannot be used.
+func read[T any](ctx context.Context, reader *reader, parse func(text []byte) (T, error)) (*Content[T], error) {
+	text, err := reader.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	value, err := parse(text)
+	if err != nil {
+		return nil, err
+	}
+	return &Content[T]{text: text, value: value}, nil
+}
+
+// reader reads a file without blocking its caller for long: a read blocks in the operating
+// system while the file system does not answer.
+type reader struct {
+	path    string
+	pending chan readResult // Nil if no read is in progress.
+}
+
+type readResult struct {
+	text []byte
+	err  error
+}
+
+func (r *reader) read(ctx context.Context) ([]byte, error) {
+	if r.pending == nil {
+		pending := make(chan readResult, 1)
+		r.pending = pending
+		go func() {
+			text, err := readFile(r.path)
+			pending <- readResult{text: text, err: err}
+		}()
+	}
+	timer := time.NewTimer(readTimeout)
+	defer timer.Stop()
+	select {
+	case result := <-r.pending:
+		r.pending = nil
+		return result.text, result.err
+	case <-timer.C:
+		return nil, &TimeoutError{path: r.path}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }() // It was only read.
+	text, err := io.ReadAll(io.LimitReader(file, maxSize+1))
+	if err == nil && len(text) > maxSize {
+		return nil, &TooLargeError{path: path}
+	}
+	return text, err
+}
--- a/limpet/cmd/limpet/cmds/cmds.go
+++ b/limpet/cmd/limpet/cmds/cmds.go
@@ -18,6 +18,7 @@
 	"limpethall.dev/kernel/network"
 	_ "limpethall.dev/kernel/platform/httpjson" // Store plug-in.
 	"limpethall.dev/kernel/settings"
+	"limpethall.dev/kernel/settingsfile"
 	"limpethall.dev/limpet"
 	_ "limpethall.dev/limpet/engine/chat" // Engine plug-in.
 )
@@ -41,10 +42,16 @@
 }
 
 func run(ctx context.Context, path string) error {
-	config := limpet.DefaultSettings()
-	if err := settings.Load(path, &config); err != nil {
-		return err
+	parse := func(text []byte) (limpet.Settings, error) {
+		config := limpet.DefaultSettings()
+		err := settings.Parse(path, string(text), &config)
+		return config, err
+	}
+	content, err := settingsfile.Await(ctx, path, parse, logs.New(limpet.DefaultSettings().Log, os.Stderr).Logger("settings"))
+	if err != nil {
+		return command.UnlessStopped(ctx, err)
 	}
+	config := content.Value()
 	store, err := config.Store.Open(network.TCP{})
 	if err != nil {
 		return err
