Process: run anew if the settings turn out to be half of the file

What callers would see: a process that reads a part of its settings that is valid by itself runs with the defaults of the rest until its next start, for example with a tolerance of 0. Two equal reads 20 ms apart don't prove that the writer is done.

Changed: for a minute from the start, at intervals that double from 50 ms (11 reads), the file is read again. Other changes of the file take effect at the next start, as before.

--- a/kernel/settingsfile/settingsfile.go
+++ b/kernel/settingsfile/settingsfile.go
@@ -6,6 +6,7 @@
 //
 //	content, err := settingsfile.Await(ctx, path, parse, logger) // err only if ctx ends.
 //	start(content.Value())
+//	if settingsfile.AwaitRest(ctx, path, content, parse, logger) { restart() }
 package settingsfile
 
 import (
@@ -14,6 +15,7 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +32,8 @@
 	logInterval = 10 * time.Second
 	// readTimeout is how long a read may take before it counts as failed.
 	readTimeout = time.Second
+	// restPeriod is how long the rest of a file is waited for.
+	restPeriod = time.Minute
 	// maxSize limits the size of the file.
 	maxSize = 256 << 10
 )
@@ -91,6 +95,26 @@
 	}
 }
 
+// AwaitRest waits for the rest of a file that Await returned before its end was written. It
+// reports whether the file now goes on after what was read, with other settings. It gives up
+// after restPeriod, as the file is only written at the start.
+func AwaitRest[T any](ctx context.Context, path string, content *Content[T], parse func(text []byte) (T, error), logger *zap.Logger) bool {
+	reader := &reader{path: path}
+	ended := time.Now().Add(restPeriod)
+	for interval := retryInterval; time.Now().Before(ended); interval *= 2 {
+		task.Sleep(ctx, interval)
+		current, err := read(ctx, reader, parse)
+		if ctx.Err() != nil {
+			return false
+		}
+		if err == nil && len(current.text) > len(content.text) && bytes.HasPrefix(current.text, content.text) && !reflect.DeepEqual(current.value, content.value) {
+			logger.Warn("settings file was read before its end was written", zap.String("path", path))
+			return true
+		}
+	}
+	return false
+}
+
 // read returns nil and an error if the file cannot be used.
 func read[T any](ctx context.Context, reader *reader, parse func(text []byte) (T, error)) (*Content[T], error) {
 	text, err := reader.read(ctx)
