recipient: calls between halls and keepers name the process that they are meant for

Callers would see acknowledged turns that can't be continued (503) after two keepers of one machine have started again in another order: the second takes the first one's port while the list still has the first one there. Seen in the test only.

Cause: calls went to an address and were executed by whoever listens on it. Both of "two" replicas of a turn were one disk. From reading, not seen: a search counts one keeper's "absent" twice, a keeper copies from itself and calls itself complete, a hall settles the loans of another one.

Calls between halls, between keepers and from halls to keepers carry kind and name of the process (Limpethall-Recipient); a process that isn't meant answers 421 before it looks at the call, and the caller gets a MisdirectedError. turns, loans and limits treat it as no answer, so another replica is asked, and probes fail until the list has the new address. A forwarded call names the hall and the keeper. A late failure at a former address doesn't count against the new one. Calls without the header, of the version before, are served, and servers of that version ignore it. The control address needs no name: any hall's answer is as good, and settings name no hosts.

A keeper tries the address first that it had when it was last listed (its disk has that list), so keepers and halls of a machine don't exchange addresses at each restart.

The tests of limits and loans only have another signature.

--- a/hall/hall.go
+++ b/hall/hall.go
@@ -202,7 +202,7 @@
 	p.fleet = fleet.New(p.identity, p.roster, p.follower, p.client, p.loggers.Logger("fleet"))
 	p.neighbors = neighbor.New(p.identity, p.roster, p.follower, p.fleet, p.client, p.loggers.Logger("neighbor"))
 	p.shareManager = ratelimit.NewShareManager(p.store, p.identity.Name, p.identity.Incarnation, p.neighbors.MajorityLostStore, p.loggers.Logger("limit"))
-	lenders := ratelimit.NewPeers(p.identity.Name, p.roster, p.shareManager, func(address string) ratelimit.Lender { return p.client.Hall(address) }, time.Now, p.loggers.Logger("limit"))
+	lenders := ratelimit.NewPeers(p.identity.Name, p.roster, p.shareManager, func(hall host.Member) ratelimit.Lender { return p.client.Hall(hall.Address()) }, time.Now, p.loggers.Logger("limit"))
 	p.limiter = ratelimit.New(lenders, p.shareManager.ShareValid, 0, time.Now)
 	p.shareManager.SetLimiter(p.limiter)
 	p.follower.Subscribe(p.limiter.Configure)
--- a/hall/ratelimit/cold_start_test.go
+++ b/hall/ratelimit/cold_start_test.go
@@ -72,7 +72,7 @@
 		}
 		go func() { _ = registrar.Run(ctx) }()
 		manager := ratelimit.NewShareManager(store, name, incarnation, func(time.Time) bool { return true }, zap.NewNop())
-		peers := ratelimit.NewPeers(name, roster, manager, func(address string) ratelimit.Lender { return lenders[address] }, time.Now, zap.NewNop())
+		peers := ratelimit.NewPeers(name, roster, manager, func(hall host.Member) ratelimit.Lender { return lenders[hall.Address()] }, time.Now, zap.NewNop())
 		limiter := ratelimit.New(peers, manager.ShareValid, 0, time.Now)
 		limiter.ConfigureRows(rows)
 		manager.SetLimiter(limiter)
--- a/hall/ratelimit/peers.go
+++ b/hall/ratelimit/peers.go
@@ -47,7 +47,7 @@
 	ownName string
 	roster  *host.Watcher
 	holders Holders
-	client  func(address string) Lender
+	client  func(hall host.Member) Lender
 	now     func() time.Time
 	logger  *zap.Logger
 
@@ -72,8 +72,8 @@
 }
 
 // NewPeers returns the Peers of the hall ownName. client returns an RPC client
-// for the hall at an address.
-func NewPeers(ownName string, roster *host.Watcher, holders Holders, client func(address string) Lender, now func() time.Time, logger *zap.Logger) *Peers {
+// for another hall.
+func NewPeers(ownName string, roster *host.Watcher, holders Holders, client func(hall host.Member) Lender, now func() time.Time, logger *zap.Logger) *Peers {
 	exhausted, err := lru.New[loanKey, time.Time](exhaustedSize)
 	if err != nil {
 		panic(err) // The size is a positive constant.
@@ -174,7 +174,7 @@
 	defer cancel()
 	sentAt := p.now()
 	lacking := max(0, 1-bucket.Tokens(sentAt))
-	reply, err := p.client(lender.Address()).Lend(ctx, &wire.LendRequest{
+	reply, err := p.client(lender).Lend(ctx, &wire.LendRequest{
 		Hall: p.ownName, Workspace: workspace, Millitokens: int64(wanted*millitokensPerToken) + 1,
 		MinMillitokens: int64(lacking * millitokensPerToken),
 		SettledLoans:   bucket.DrainSettled(lender.Name()), NewProgram: priority == NewProgram,
--- a/hall/serverlimit/limiter.go
+++ b/hall/serverlimit/limiter.go
@@ -67,7 +67,7 @@
 type Limiter struct {
 	ownName string
 	halls   func() []host.Member
-	client  func(address string) Peer
+	client  func(hall host.Member) Peer
 	tracker *Tracker
 	logger  *zap.Logger
 
@@ -84,8 +84,8 @@
 }
 
 // New returns the Limiter of the hall ownName. halls returns the live halls; client
-// returns an RPC client for the hall at an address.
-func New(ownName string, halls func() []host.Member, client func(address string) Peer, tracker *Tracker, logger *zap.Logger) *Limiter {
+// returns an RPC client for another hall.
+func New(ownName string, halls func() []host.Member, client func(hall host.Member) Peer, tracker *Tracker, logger *zap.Logger) *Limiter {
 	return &Limiter{
 		ownName: ownName, halls: halls, client: client, tracker: tracker, logger: logger,
 		schedules: make(map[string]*schedule), isolated: make(map[string]*schedule), unreachable: make(map[string]bool),
@@ -204,7 +204,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	if _, err := l.client(hall.Address()).Inform(ctx, request); err != nil {
+	if _, err := l.client(hall).Inform(ctx, request); err != nil {
 		l.failed.Add(1)
 		if ctx.Err() != context.Canceled {
 			l.markUnreachable(hall.Name(), err)
@@ -260,7 +260,7 @@
 func (l *Limiter) ask(ctx context.Context, hall host.Member, serverID string, maxWait time.Duration, observation Observation) (*wire.AcquireReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
-	reply, err := l.client(hall.Address()).Acquire(ctx, &wire.AcquireRequest{
+	reply, err := l.client(hall).Acquire(ctx, &wire.AcquireRequest{
 		Hall: l.ownName, Server: serverID, MaxWaitMicroseconds: maxWait.Microseconds(), Observation: encodeObservation(time.Now(), observation),
 	})
 	now := time.Now()
--- a/hall/serverlimit/serverlimit_test.go
+++ b/hall/serverlimit/serverlimit_test.go
@@ -55,7 +55,7 @@
 	if c.limiters[name] == nil {
 		c.members = append(slices.Clone(c.members), host.NewHall(name, "zone", name, 1))
 	}
-	c.limiters[name] = serverlimit.New(name, c.halls, func(address string) serverlimit.Peer { return peer{cluster: c, name: address} },
+	c.limiters[name] = serverlimit.New(name, c.halls, func(hall host.Member) serverlimit.Peer { return peer{cluster: c, name: hall.Address()} },
 		serverlimit.NewTracker(zap.NewNop()), zap.NewNop())
 }
 
--- a/hall/serverlimit/slope_test.go
+++ b/hall/serverlimit/slope_test.go
@@ -41,7 +41,7 @@
 			}
 			halls := func() []host.Member { return members }
 			owner := serverlimit.New("owner", halls, nil, serverlimit.NewTracker(zap.NewNop()), zap.NewNop())
-			limiter := serverlimit.New("asking", halls, func(string) serverlimit.Peer { return directPeer{limiter: owner} }, serverlimit.NewTracker(zap.NewNop()), zap.NewNop())
+			limiter := serverlimit.New("asking", halls, func(host.Member) serverlimit.Peer { return directPeer{limiter: owner} }, serverlimit.NewTracker(zap.NewNop()), zap.NewNop())
 			now := time.Now()
 			limiter.Tracker().Observe(now, serverID, serverlimit.NewObservation(serverlimit.Limited(5), now, now))
 			for b.Loop() {
--- a/hall/turns/forward.go
+++ b/hall/turns/forward.go
@@ -10,6 +10,8 @@
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/host"
+	"limpethall.dev/kernel/recipient"
 	"limpethall.dev/kernel/replication"
 	"limpethall.dev/kernel/wire"
 )
@@ -28,16 +30,24 @@
 // keeperRoute is how a keeper is called: directly, or through another hall while
 // this hall can't reach it.
 type keeperRoute struct {
-	keeperAddress string
-	hallAddress   string // Empty for direct calls.
+	keeper endpoint
+	hall   endpoint // Zero for direct calls.
+}
+
+// endpoint is a process and its address.
+type endpoint struct{ name, address string }
+
+func newRoute(keeper replication.Keeper, hall endpoint) keeperRoute {
+	return keeperRoute{keeper: endpoint{name: keeper.Name, address: keeper.Address}, hall: hall}
 }
 
 // newClient returns a client of the keeper that uses the route.
 func (r keeperRoute) newClient(client *http.Client) wire.Keeper {
-	if r.hallAddress == "" {
-		return wire.NewKeeperProtobufClient("http://"+r.keeperAddress, client)
+	if r.hall == (endpoint{}) {
+		return wire.NewKeeperProtobufClient("http://"+r.keeper.address, recipient.NewClient(client, host.KindKeeper, r.keeper.name))
 	}
-	return wire.NewKeeperProtobufClient("http://"+r.hallAddress, client, twirp.WithClientPathPrefix(forwardPrefix+r.keeperAddress+twirpPrefix))
+	forwarding := recipient.NewClient(client, host.KindHall, r.hall.name).ForwardingTo(host.KindKeeper, r.keeper.name)
+	return wire.NewKeeperProtobufClient("http://"+r.hall.address, forwarding, twirp.WithClientPathPrefix(forwardPrefix+r.keeper.address+twirpPrefix))
 }
 
 // ForwardPathPrefix is the path prefix of Forward.
@@ -64,6 +74,7 @@
 		return
 	}
 	outgoing.GetBody = nil
+	recipient.Forward(outgoing, r)
 	outgoing.Header.Set("Content-Type", r.Header.Get("Content-Type"))
 	response, err := c.httpClient.Do(outgoing)
 	if err != nil {
--- a/hall/turns/quorum.go
+++ b/hall/turns/quorum.go
@@ -101,12 +101,16 @@
 
 // recordResult records whether a keeper failed. After a timeout it closes the idle
 // connections to all keepers, because they may be broken too. The result of a call
-// on a route that is no longer used says nothing about the current one and is
-// ignored.
+// on a route that is no longer used, such as one to a former address of the keeper, says
+// nothing about the current one and is ignored.
 func (c *Client) recordResult(ctx context.Context, keeper replication.Keeper, route keeperRoute, err error) {
 	if errors.Is(err, errStaleList) || (err != nil && errors.Is(ctx.Err(), context.Canceled)) {
 		return // A keeper with a newer list works, and a canceled call says nothing about its keeper.
 	}
+	listed := c.keepers.List().All()
+	if index := slices.IndexFunc(listed, func(k replication.Keeper) bool { return k.Name == keeper.Name }); err != nil && index >= 0 {
+		keeper = listed[index]
+	}
 	c.mutex.Lock()
 	_, failedBefore := c.failedAt[keeper.Name]
 	if route != c.currentRoute(keeper) {
@@ -207,7 +211,7 @@
 // chosen at random.
 func (c *Client) probe(ctx context.Context, keeper replication.Keeper) {
 	defer c.endProbe(keeper)
-	if c.probeRoute(ctx, keeper, "") {
+	if c.probeRoute(ctx, keeper, endpoint{}) {
 		c.logger.Info("keeper answers again", zap.String("keeper", keeper.Name))
 		return
 	}
@@ -216,32 +220,32 @@
 		return
 	}
 	hall := halls[rand.IntN(len(halls))]
-	if c.probeRoute(ctx, keeper, hall) {
-		c.logger.Info("keeper is called through another hall", zap.String("keeper", keeper.Name), zap.String("hall", hall))
+	if c.probeRoute(ctx, keeper, endpoint{name: hall.Name(), address: hall.Address()}) {
+		c.logger.Info("keeper is called through another hall", zap.String("keeper", keeper.Name), zap.String("hall", hall.Address()))
 	}
 }
 
 // probeDirect switches a keeper back to direct calls if a direct probe succeeds.
 func (c *Client) probeDirect(ctx context.Context, keeper replication.Keeper) {
-	if c.probeRoute(ctx, keeper, "") {
+	if c.probeRoute(ctx, keeper, endpoint{}) {
 		c.logger.Info("keeper is called directly again", zap.String("keeper", keeper.Name))
 	}
 }
 
-// probeRoute probes a keeper through the hall at hallAddress, or directly if that
-// is empty. If the keeper replies, later calls use the same route.
-func (c *Client) probeRoute(ctx context.Context, keeper replication.Keeper, hallAddress string) bool {
+// probeRoute probes a keeper through a hall, or directly if that is the zero value. If the
+// keeper replies, later calls use the same route.
+func (c *Client) probeRoute(ctx context.Context, keeper replication.Keeper, hall endpoint) bool {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if _, err := (keeperRoute{keeperAddress: keeper.Address, hallAddress: hallAddress}).newClient(c.httpClient).Find(probeCtx, &wire.FindTurnRequest{}); err != nil {
+	if _, err := newRoute(keeper, hall).newClient(c.httpClient).Find(probeCtx, &wire.FindTurnRequest{}); err != nil {
 		return false
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.failedAt, keeper.Name)
 	delete(c.viaHall, keeper.Name)
-	if hallAddress != "" {
-		c.viaHall[keeper.Name] = hallAddress
+	if hall != (endpoint{}) {
+		c.viaHall[keeper.Name] = hall
 	}
 	return true
 }
@@ -253,7 +257,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for _, keeper := range all {
-		if c.viaHall[keeper.Name] != "" {
+		if c.viaHall[keeper.Name] != (endpoint{}) {
 			found = append(found, keeper)
 		}
 	}
@@ -280,7 +284,7 @@
 
 // currentRoute returns the route of calls to a keeper. The caller holds the mutex.
 func (c *Client) currentRoute(keeper replication.Keeper) keeperRoute {
-	return keeperRoute{keeperAddress: keeper.Address, hallAddress: c.viaHall[keeper.Name]}
+	return newRoute(keeper, c.viaHall[keeper.Name])
 }
 
 // keeperClient returns a client of a keeper and the route that the client uses.
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -29,6 +29,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/replication"
 	"limpethall.dev/kernel/wire"
@@ -189,7 +190,7 @@
 type Client struct {
 	rule       replication.Rule
 	keepers    Membership
-	otherHalls func() []string
+	otherHalls func() []host.Member
 	logger     *zap.Logger
 	transport  *http.Transport
 	httpClient *http.Client
@@ -197,20 +198,19 @@
 	mutex    sync.Mutex
 	clients  map[keeperRoute]wire.Keeper
 	failedAt map[string]time.Time
-	viaHall  map[string]string // Address of the hall that forwards calls to the keeper, by the keeper's name.
-	probing  map[string]bool   // Keepers with a probe in progress.
+	viaHall  map[string]endpoint // The hall that forwards calls to the keeper, by the keeper's name.
+	probing  map[string]bool     // Keepers with a probe in progress.
 }
 
-// New returns a client. otherHalls returns the addresses of the other halls as
-// host:port.
-func New(rule replication.Rule, keepers Membership, otherHalls func() []string, dialer network.Network, logger *zap.Logger) *Client {
+// New returns a client. otherHalls returns the other halls.
+func New(rule replication.Rule, keepers Membership, otherHalls func() []host.Member, dialer network.Network, logger *zap.Logger) *Client {
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerKeeper, DisableCompression: true,
 		WriteBufferSize: 32 << 10, ReadBufferSize: 16 << 10,
 	}
 	return &Client{
 		rule: rule, keepers: keepers, otherHalls: otherHalls, logger: logger, transport: transport, httpClient: &http.Client{Transport: transport},
-		clients: make(map[keeperRoute]wire.Keeper), failedAt: make(map[string]time.Time), viaHall: make(map[string]string), probing: make(map[string]bool),
+		clients: make(map[keeperRoute]wire.Keeper), failedAt: make(map[string]time.Time), viaHall: make(map[string]endpoint), probing: make(map[string]bool),
 	}
 }
 
--- a/keeper/gaps.go
+++ b/keeper/gaps.go
@@ -99,7 +99,7 @@
 
 // fetchTurns fetches from one member those of the missing turns that it has.
 func (k *Keeper) fetchTurns(ctx context.Context, source replication.Keeper, gaps []ledger.Gap) error {
-	client := wire.NewKeeperProtobufClient("http://"+source.Address, k.client)
+	client := k.clientOf(source)
 	for batch := range slices.Chunk(gaps, maxFetchedTurns) {
 		request := &wire.FetchRequest{}
 		for _, gap := range batch {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -28,6 +28,7 @@
 	"limpethall.dev/kernel/metrics"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
+	"limpethall.dev/kernel/recipient"
 	"limpethall.dev/kernel/replication"
 	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
@@ -131,7 +132,7 @@
 	if err != nil {
 		return nil, errors.Join(err, disk.Close())
 	}
-	listener, err := options.Network.ListenFirst(ctx, options.Addresses)
+	listener, err := options.Network.ListenFirst(ctx, formerFirst(options, records.Copied()))
 	if err != nil {
 		return nil, errors.Join(oops.In("keeper").Wrapf(err, "listen for halls and keepers"), disk.Close())
 	}
@@ -151,10 +152,26 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", wire.NewKeeperServer(k))
 	mux.Handle("/metrics", options.Meters.Handler())
-	k.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	k.server = &http.Server{Handler: recipient.Handler(host.KindKeeper, options.Name, mux), ReadHeaderTimeout: headerTimeout}
 	return k, nil
 }
 
+// formerFirst returns the addresses, first the one that the keeper had when it was last
+// listed. Others know it, also while they can't read the list.
+func formerFirst(options Options, list *wire.KeeperList) []string {
+	former := ""
+	for _, member := range list.GetKeepers() {
+		if member.GetName() == options.Name {
+			former = member.GetAddress()
+		}
+	}
+	index := slices.Index(options.Addresses, former)
+	if index <= 0 {
+		return options.Addresses
+	}
+	return slices.Insert(slices.Delete(slices.Clone(options.Addresses), index, index+1), 0, former)
+}
+
 // Start starts serving requests and adds the keeper to the member list.
 func (k *Keeper) Start(ctx context.Context) error {
 	turns, programs := k.ledger.Counts()
@@ -320,11 +337,16 @@
 	}
 }
 
+// clientOf returns a client of another member.
+func (k *Keeper) clientOf(member replication.Keeper) wire.Keeper {
+	return wire.NewKeeperProtobufClient("http://"+member.Address, recipient.NewClient(k.client, host.KindKeeper, member.Name))
+}
+
 // answers reports whether the member itself answers at its address.
 func (k *Keeper) answers(ctx context.Context, member replication.Keeper) bool {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	reply, err := wire.NewKeeperProtobufClient("http://"+member.Address, k.client).Identify(ctx, &wire.Empty{})
+	reply, err := k.clientOf(member).Identify(ctx, &wire.Empty{})
 	if err != nil {
 		k.transport.CloseIdleConnections()
 		return false
--- a/keeper/replication.go
+++ b/keeper/replication.go
@@ -154,7 +154,7 @@
 
 // copyFrom copies the records of the groups from one member.
 func (k *Keeper) copyFrom(ctx context.Context, source replication.Keeper, list *replication.MemberList, groups []replication.Group) error {
-	client := wire.NewKeeperProtobufClient("http://"+source.Address, k.client)
+	client := k.clientOf(source)
 	request := &wire.CopyRequest{Keeper: k.options.Name, Keepers: list.ToWire(true)}
 	for _, group := range groups {
 		request.Groups = append(request.Groups, uint32(group))
@@ -270,7 +270,7 @@
 }
 
 func (k *Keeper) transferTo(ctx context.Context, target replication.Keeper, groups map[replication.Group]bool) error {
-	client := wire.NewKeeperProtobufClient("http://"+target.Address, k.client)
+	client := k.clientOf(target)
 	var after []byte
 	for {
 		page, err := k.ledger.Page(after, func(placement string) bool { return groups[replication.GroupOf(placement)] })
