--- a/kernel/command/command.go
+++ b/kernel/command/command.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+
+	_ "limpethall.dev/kernel/signals" // Only SIGTERM and SIGINT end the process, with exit code 0.
 )
 
 // Version is the version of all programs of this repository.
