--- a/kernel/task/task.go
+++ b/kernel/task/task.go
@@ -15,10 +15,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
-	"github.com/samber/oops"
 	"go.uber.org/zap"
 )
 
@@ -74,13 +74,13 @@
 }
 
 func (g *Group) runOnce(name string, task func(ctx context.Context) error) {
-	err := oops.In(name).Recoverf(func() {
-		if err := task(g.ctx); err != nil && g.ctx.Err() == nil {
-			g.logger.Error("background task failed, restarting it", zap.String("duty", name), zap.Error(err))
-		}
-	}, "background task panicked")
-	if err != nil {
-		g.logger.Error("background task panicked", zap.String("duty", name), zap.Error(err))
+	err := Guard(func() error { return task(g.ctx) })
+	var fault *PanicError
+	switch {
+	case errors.As(err, &fault):
+		logPanic(g.logger, name, fault)
+	case err != nil && g.ctx.Err() == nil:
+		g.logger.Error("background task failed, restarting it", zap.String("duty", name), zap.Error(err))
 	}
 }
 
