archive: a damaged or unusable disk does not end a keeper

What callers saw: a keeper whose files were cut to nothing, cut in half or garbage, or that lacked a table or its last 7 bytes, ended with exit code 1 at each start, for ever. One whose directory could not be used (no permission, a file, read-only, too many open files) ended too.

Cause: each error of opening the database, except for a lock of another process, was returned to main. A damaged block that was found while the records were loaded ended the process in the database's logger.

Ruled out: moving the damaged files aside. A rename between directories may be kept in one and lost in the other at a loss of power, so that the file is gone.

What changed: an archive has generations. The first is the directory of the archive as before; if its files are damaged, the records go on in generation-1 inside it, and so on. The damaged files stay where they are. Each of their tables and logs is read by itself, and the records found are stored in the new generation, with a note that this is done synced after them; without the note, the salvage is repeated at the next start. A settled reservation wins over an open one, and neither "complete" nor "copied" is taken over, so that the keeper is not ready until it has copied from the others. It does not count as complete through Bootstrap either. Errors of the machine are waited for, with a line at once and every 10 s and a metric; a read error that lasts for 5 s while the disk can be written counts as damage. An archive in a newer format is waited for and left alone. A database without its manifest's marker, or without any log, counts as damaged: it was replaced by an empty one, and its tables were removed.

Why it works: what is not acknowledged by the new generation's sync is still in the old files, and records are unions.

Not covered: a log that was cut at its end looks like one after a loss of power, so records that were synced and cut away are not missed.

--- a/keeper/archive/archive.go
+++ b/keeper/archive/archive.go
@@ -8,6 +8,8 @@
 // callers can refuse a request before they change anything. Records can be read all the
 // while.
 //
+// Damage of the files ends nothing: what can be read of them is moved to a new database.
+//
 // # Usage
 //
 //	store, err := archive.Open(ctx, "/data/keeper", logger)
@@ -17,17 +19,16 @@
 package archive
 
 import (
-	"context"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2"
-	"github.com/cockroachdb/pebble/v2/vfs"
-	"github.com/samber/oops"
 	"go.uber.org/zap"
 )
 
@@ -38,14 +39,14 @@
 	blockCacheBytes = 1 << 20
 	// bucketDuration is the range of expiry times covered by one bucket.
 	bucketDuration = 10 * time.Second
-	// lockInterval is the interval between attempts to open an archive that another process
-	// has locked.
-	lockInterval = 50 * time.Millisecond
 	// bucketPrefixBytes is the length of the bucket in front of a disk key: a
 	// big-endian Unix time in seconds.
 	bucketPrefixBytes = 8
 )
 
+// lastBucket is the first disk key after all buckets.
+var lastBucket = bytes.Repeat([]byte{0xff}, bucketPrefixBytes)
+
 // Record is a key-value pair with an expiry time.
 type Record struct {
 	Key     string
@@ -61,64 +62,19 @@
 
 // Archive is an open record store. It is safe for concurrent use.
 type Archive struct {
-	db *pebble.DB
-	fs *waitingFS
+	db      *pebble.DB
+	fs      *waitingFS
+	lock    io.Closer
+	damaged bool
+	damage  atomic.Pointer[DamageError] // Found by the database while it is open.
 
 	mutex  sync.RWMutex // Held for reading by operations, as the database panics if it is closed meanwhile.
 	closed bool
 }
 
-// Open opens the archive in a directory and creates it if it does not exist. While another
-// process has it open, such as one that is still stopping, Open waits.
-func Open(ctx context.Context, dir string, logger *zap.Logger) (*Archive, error) {
-	return OpenFS(ctx, vfs.Default, dir, logger)
-}
-
-// OpenFS opens the archive in a directory of the given file system.
-func OpenFS(ctx context.Context, fs vfs.FS, dir string, logger *zap.Logger) (*Archive, error) {
-	waiting := &waitingFS{FS: fs, logger: logger}
-	db, err := openUnlocked(ctx, waiting, dir, logger)
-	if err != nil {
-		return nil, oops.In("archive").Wrapf(err, "open the archive in %s", dir)
-	}
-	return &Archive{db: db, fs: waiting}, nil
-}
-
-// openUnlocked opens the database once no other process has locked its directory.
-func openUnlocked(ctx context.Context, fs vfs.FS, dir string, logger *zap.Logger) (*pebble.DB, error) {
-	started := time.Now()
-	for waited := false; ; waited = true {
-		db, err := openDatabase(fs, dir, logger)
-		switch {
-		case err == nil && waited:
-			logger.Info("archive is free", zap.String("directory", dir), zap.Duration("waited", time.Since(started)))
-			return db, nil
-		case !errors.Is(err, syscall.EAGAIN):
-			return db, err
-		case !waited:
-			logger.Warn("archive is in use by another process, waiting until it is free", zap.String("directory", dir), zap.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(lockInterval):
-		}
-	}
-}
-
-func openDatabase(fs vfs.FS, dir string, logger *zap.Logger) (*pebble.DB, error) {
-	cache := pebble.NewCache(blockCacheBytes)
-	defer cache.Unref()
-	return pebble.Open(dir, &pebble.Options{
-		FS:                          fs,
-		Cache:                       cache,
-		MemTableSize:                memTableBytes,
-		MemTableStopWritesThreshold: 4,
-		MaxOpenFiles:                64,
-		Logger:                      pebbleLogger{logger.Sugar()},
-		FormatMajorVersion:          pebble.FormatNewest,
-	})
-}
+// Damaged reports whether files of this archive were found damaged, at this opening or an
+// earlier one, so that records may be missing.
+func (a *Archive) Damaged() bool { return a.damaged }
 
 // Close waits for the operations in progress and closes the database. Later operations
 // return a *ClosedError. While the disk is full it does nothing: closing would wait for
@@ -133,7 +89,7 @@
 		return &ClosedError{}
 	}
 	a.closed = true
-	return a.db.Close()
+	return errors.Join(a.db.Close(), a.lock.Close())
 }
 
 // begin begins an operation on the database, which ends with a call of end. It returns an
@@ -192,7 +148,7 @@
 		return nil, err
 	}
 	defer end()
-	iterator, err := a.db.NewIter(nil)
+	iterator, err := a.db.NewIter(&pebble.IterOptions{UpperBound: lastBucket})
 	if err != nil {
 		return nil, err
 	}
@@ -242,17 +198,18 @@
 		return err
 	}
 	defer end()
-	firstKept := make([]byte, bucketPrefixBytes)
-	binary.BigEndian.PutUint64(firstKept, uint64(bucketEnd(now)))
-	return a.db.DeleteRange(make([]byte, bucketPrefixBytes), firstKept, pebble.NoSync)
+	return a.db.DeleteRange(make([]byte, bucketPrefixBytes), bucketKey(now), pebble.NoSync)
+}
+
+// bucketKey returns the first disk key of the bucket of t.
+func bucketKey(t time.Time) []byte {
+	return binary.BigEndian.AppendUint64(nil, uint64(bucketEnd(t)))
 }
 
 // diskKey returns the key prefixed with its bucket, which sorts the database by
 // expiry.
 func diskKey(key string, expires time.Time) []byte {
-	prefixed := make([]byte, bucketPrefixBytes, bucketPrefixBytes+len(key))
-	binary.BigEndian.PutUint64(prefixed, uint64(bucketEnd(expires)))
-	return append(prefixed, key...)
+	return append(bucketKey(expires), key...)
 }
 
 // bucketEnd returns the Unix time, in seconds, at which the bucket of t ends.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
@@ -117,14 +118,17 @@
 // New opens the record store, once no other process uses it. The keeper serves no requests
 // before Start.
 func New(ctx context.Context, options Options) (*Keeper, error) {
-	disk, err := archive.Open(ctx, options.DataDir, options.Logger)
+	var records *ledger.Ledger
+	disk, err := archive.OpenWith(ctx, archive.Options{
+		FS: vfs.Default, Dir: options.DataDir, Choose: ledger.Choose, Meter: options.Meters.Meter(), Logger: options.Logger,
+		Load: func(disk *archive.Archive) (err error) {
+			records, err = ledger.Open(disk, time.Now(), options.Logger)
+			return err
+		},
+	})
 	if err != nil {
 		return nil, err
 	}
-	records, err := ledger.Open(disk, time.Now(), options.Logger)
-	if err != nil {
-		return nil, errors.Join(oops.In("keeper").Wrapf(err, "load the records in %s", options.DataDir), disk.Close())
-	}
 	instruments, err := newInstruments(options.Meters.Meter(), records)
 	if err != nil {
 		return nil, errors.Join(err, disk.Close())
@@ -158,7 +162,7 @@
 	turns, programs := k.ledger.Counts()
 	k.logger.Info("starting keeper", zap.String("name", k.options.Name), zap.String("address", k.options.Address),
 		zap.Int("turns", turns), zap.Int("programs", programs), zap.Bool("firstStart", k.options.Bootstrap), zap.Bool("ready", k.ledger.Ready()))
-	if k.options.Bootstrap && k.ledger.Empty() {
+	if k.options.Bootstrap && k.ledger.Empty() && !k.archive.Damaged() {
 		if err := k.ledger.SetReady(true); err != nil {
 			return oops.In("keeper").Wrapf(err, "mark the disk as complete")
 		}
--- a/keeper/ledger/record.go
+++ b/keeper/ledger/record.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// Choose selects the value of a record that is read from a damaged archive. A settled
+// reservation is final. What tells that the records are complete is left out, as they are not.
+func Choose(key string, stored, found []byte) []byte {
+	decoded, err := decodeRecord(archive.Record{Key: key, Value: found})
+	if err != nil {
+		return stored
+	}
+	switch decoded := decoded.(type) {
+	case completeRecord, copiedRecord:
+		return nil
+	case reservationRecord:
+		earlier := &wire.Reservation{}
+		if err := proto.Unmarshal(stored, earlier); err == nil && earlier.GetSettled() && !decoded.reservation.GetSettled() {
+			return stored
+		}
+	}
+	return found
+}
+
 // encodeTurn returns the record of a turn.
 func encodeTurn(turn *wire.Turn, expires time.Time) (archive.Record, error) {
 	value, err := proto.Marshal(turn)
