network: listeners accept connections until they are closed

Callers would see a process that runs without one of its addresses for good. Not seen on a machine; shown with faults of accept.

Cause: net/http's server returns at every error of Accept but EMFILE, ENFILE and resets; the hall and the keeper logged "HTTP server failed" once and went on. Linux hands errors of single connections and of full memory to accept (EPROTO, ENOBUFS, ENOMEM, EPERM). Hertz' loop ends at every error, also for want of a file descriptor, and its error was dropped.

The listeners of network.Waiting, which all programs use, return from Accept with an error only after Close. Other errors are logged at most every 10 s, counted in limpethall_{hall,keeper}_addresses_unavailable while they last, and tried again after 5 to 400 ms; a listener that is lost is opened again at its address.

TestServersOutliveFailedAccepts: before, 7 of 8 cases got no response within 5 s (all but net/http without descriptors); now all respond. Passed with the race detector, with kernel/listener and the starts, stops and keepers of platform/deployment.

--- a/kernel/network/waiting.go
+++ b/kernel/network/waiting.go
@@ -40,7 +40,7 @@
 // Waiting is a Network whose Listen waits while the address is not available: another
 // socket uses it, such as one of a process that is still stopping, the host does not have
 // it yet, or the process has no file descriptor left. An address that is malformed, or the
-// end of the context, ends the wait.
+// end of the context, ends the wait. Its listeners accept connections until they are closed.
 type Waiting struct {
 	Network
 	ctx         context.Context // Of the process, as Listen has none.
@@ -98,7 +98,8 @@
 	}
 }
 
-// Unavailable returns the number of listeners that wait for an address.
+// Unavailable returns the number of listeners that wait for an address, or can't accept
+// connections.
 func (w *Waiting) Unavailable() int { return int(w.unavailable.Load()) }
 
 // listenOnce tries each address and returns the first listener, or the last error.
@@ -106,8 +107,11 @@
 	err := error(&net.AddrError{Err: "no address to listen on"})
 	for _, address := range addresses {
 		var listener net.Listener
-		if listener, err = w.Network.Listen(address); err == nil || !isUnavailable(err) {
-			return listener, err
+		if listener, err = w.Network.Listen(address); err == nil {
+			return newLastingListener(w, listener), nil
+		}
+		if !isUnavailable(err) {
+			return nil, err
 		}
 	}
 	return nil, err
