task: guard the goroutines that are not tasks

What callers would see: a process ends with exit code 2 if a goroutine panics. Handlers of requests are guarded by net/http and tasks by their group, which runs them again; other goroutines were not, nor are those of sync.WaitGroup.Go: calls to keepers, probes of keepers, halls and engines, settlements, copies between keepers, the maintenance of shares, watch calls, state from other hosts and the retirement of a machine.

Changed: these call task.Guard or start with task.Go. Not guarded: the loops that serve connections, the goroutine that writes a large request body, and goroutines of the own interface alone (hall/home, hall/fleet, hall/neighbor, limpet).

TestPanicOfWatchCall: before, the test binary ended with "panic: malformed answer"; now it passes. TestPanicDoesNotEndProcess covers task.Guard, task.Go and groups.

--- a/hall/gateway/crash.go
+++ b/hall/gateway/crash.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/backend"
+	"limpethall.dev/kernel/task"
 )
 
 const (
@@ -49,7 +50,7 @@
 func (h *requestHandler) probeForCrash(server backend.Server) {
 	options := h.gateway.options
 	digest, requestID := h.digest(), h.request.ID
-	go func() {
+	task.Go(options.Logger, "crash probe", func() {
 		time.Sleep(crashProbeDelay)
 		probeCtx, cancelProbe := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancelProbe()
@@ -60,5 +61,5 @@
 		defer cancelRecord()
 		err := options.Crashes.RecordCrash(recordCtx, digest)
 		options.Logger.Warn("backend server crashed while running a request", zap.String("requestId", requestID), zap.String("server", server.ID()), zap.Error(err))
-	}()
+	})
 }
--- a/hall/ratelimit/share_manager.go
+++ b/hall/ratelimit/share_manager.go
@@ -156,7 +156,7 @@
 		m.lock()
 		m.followedEpoch = epoch
 		m.unlock()
-		go func() {
+		task.Go(m.logger, "share maintenance", func() {
 			defer cancel()
 			for innerCtx.Err() == nil && m.registrar.Epoch() == epoch {
 				if err := m.maintain(innerCtx); err != nil {
@@ -165,7 +165,7 @@
 				}
 				task.Sleep(innerCtx, pollInterval)
 			}
-		}()
+		})
 		if err := platform.Follow(innerCtx, m.store, limitsPrefix, m); err != nil {
 			cancel()
 			return err
--- a/hall/serverlimit/limiter.go
+++ b/hall/serverlimit/limiter.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/host"
+	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
 )
 
@@ -227,7 +228,13 @@
 			l.markReachable(name) // It is not asked, as it is not on the roster.
 			continue
 		}
-		group.Go(func() { _, _ = l.ask(ctx, hall, "", 0, Observation{}) }) // An error leaves it unreachable.
+		group.Go(func() {
+			// An error leaves it unreachable.
+			_ = task.Guard(l.logger, "limit owner probe", func() error {
+				_, err := l.ask(ctx, hall, "", 0, Observation{})
+				return err
+			})
+		})
 	}
 	group.Wait()
 }
--- a/hall/turns/quorum.go
+++ b/hall/turns/quorum.go
@@ -47,7 +47,7 @@
 	replicas := c.replicas(placement)
 	callCtx, stop := context.WithCancel(ctx)
 	q := &quorumCall{replies: make(chan callResult, len(replicas)), stop: stop, extra: make(chan struct{}, len(replicas))}
-	go c.collectReplies(callCtx, q, replicas, fn)
+	task.Go(c.logger, "keeper replies", func() { c.collectReplies(callCtx, q, replicas, fn) })
 	return q
 }
 
@@ -94,7 +94,11 @@
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	client, route := c.keeperClient(keeper)
-	reply, err := fn(callCtx, client)
+	var reply any
+	err := task.Guard(c.logger, "keeper call", func() (err error) {
+		reply, err = fn(callCtx, client)
+		return err
+	})
 	c.recordResult(callCtx, keeper, route, err)
 	return callResult{reply: reply, err: err}
 }
@@ -173,12 +177,12 @@
 		task.Sleep(ctx, probeInterval)
 		for _, keeper := range c.pruneAndListUnresponsive() {
 			if c.beginProbe(keeper) {
-				go c.probe(ctx, keeper)
+				task.Go(c.logger, "keeper probe", func() { c.probe(ctx, keeper) })
 			}
 		}
 		if round%directProbeRounds == 0 {
 			for _, keeper := range c.forwardedKeepers() {
-				go c.probeDirect(ctx, keeper)
+				task.Go(c.logger, "direct keeper probe", func() { c.probeDirect(ctx, keeper) })
 			}
 		}
 	}
--- a/hall/turns/search.go
+++ b/hall/turns/search.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpethall.dev/kernel/replication"
+	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
 )
 
@@ -90,7 +91,11 @@
 		pending++
 		go func() {
 			client, route := s.client.keeperClient(keeper)
-			reply, err := client.Find(ctx, s.request)
+			var reply *wire.FindTurnReply
+			err := task.Guard(s.client.logger, "turn search", func() (err error) {
+				reply, err = client.Find(ctx, s.request)
+				return err
+			})
 			s.client.recordResult(ctx, keeper, route, err)
 			replies <- callResult{reply: reply, err: err}
 		}()
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -31,6 +31,7 @@
 
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/replication"
+	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
 )
 
@@ -284,7 +285,7 @@
 	}
 	active.settleOnce.Do(func() {
 		request := &wire.FinishTurnRequest{Reservation: active.reservation(tokens, true), Others: active.partlyKnownReservations()}
-		go c.settle(active, request)
+		task.Go(c.logger, "settle", func() { c.settle(active, request) })
 	})
 }
 
--- a/keeper/metrics.go
+++ b/keeper/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"limpethall.dev/keeper/ledger"
+	"limpethall.dev/kernel/task"
 )
 
 // instruments record the number and the duration of calls from halls.
@@ -40,6 +41,10 @@
 	if err != nil {
 		return nil, err
 	}
+	panics, err := meter.Int64ObservableGauge("limpethall.keeper.panics", metric.WithDescription("Panics that did not end the process."))
+	if err != nil {
+		return nil, err
+	}
 	gaps, err := meter.Int64ObservableGauge("limpethall.keeper.missing", metric.WithDescription("Turns that stored turns continue, but that this keeper lacks."))
 	if err != nil {
 		return nil, err
@@ -49,13 +54,14 @@
 		observer.ObserveInt64(turns, int64(turnCount))
 		observer.ObserveInt64(programs, int64(programCount))
 		observer.ObserveInt64(gaps, int64(len(records.Gaps())))
+		observer.ObserveInt64(panics, task.Panics())
 		readyValue := int64(0)
 		if records.Ready() {
 			readyValue = 1
 		}
 		observer.ObserveInt64(ready, readyValue)
 		return nil
-	}, turns, programs, gaps, ready)
+	}, turns, programs, gaps, panics, ready)
 	return i, err
 }
 
--- a/keeper/replication.go
+++ b/keeper/replication.go
@@ -133,7 +133,7 @@
 		group.Go(func() {
 			permits <- struct{}{}
 			defer func() { <-permits }()
-			err := k.copyFrom(ctx, source, list, groups)
+			err := task.Guard(k.logger, "copy", func() error { return k.copyFrom(ctx, source, list, groups) })
 			mutex.Lock()
 			defer mutex.Unlock()
 			if err != nil {
--- a/kernel/relay/relay.go
+++ b/kernel/relay/relay.go
@@ -272,8 +272,13 @@
 	results := make(chan result, len(s.peers))
 	for _, source := range s.peers {
 		go func() {
-			listing, known := s.fetch(ctx, source, prefix)
-			results <- result{listing: listing, found: known}
+			var fetched result
+			// Without an answer there is no listing.
+			_ = task.Guard(s.logger, "relayed state", func() error {
+				fetched.listing, fetched.found = s.fetch(ctx, source, prefix)
+				return nil
+			})
+			results <- fetched
 		}()
 	}
 	for range s.peers {
--- a/kernel/task/task.go
+++ b/kernel/task/task.go
@@ -3,7 +3,8 @@
 //
 // A task runs until its context ends. If it returns earlier or panics, it is
 // restarted after a delay, so that a fault in one task doesn't terminate the
-// process. Errors and panics are logged.
+// process. Errors and panics are logged. Goroutines that are no tasks are started with
+// Go, or call Guard.
 //
 // # Usage
 //
@@ -15,7 +16,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -74,12 +74,8 @@
 }
 
 func (g *Group) runOnce(name string, task func(ctx context.Context) error) {
-	err := Guard(func() error { return task(g.ctx) })
-	var fault *PanicError
-	switch {
-	case errors.As(err, &fault):
-		logPanic(g.logger, name, fault)
-	case err != nil && g.ctx.Err() == nil:
+	err := Guard(g.logger, name, func() error { return task(g.ctx) })
+	if err != nil && g.ctx.Err() == nil {
 		g.logger.Error("background task failed, restarting it", zap.String("duty", name), zap.Error(err))
 	}
 }
--- a/kernel/task/task_test.go
+++ b/kernel/task/task_test.go
@@ -43,7 +43,7 @@
 			t.Errorf("panics: got %d, want %d", got, want)
 		}
 		for _, duty := range []string{"copies", "probe"} {
-			lines := logs.FilterField(zap.String("duty", duty)).All()
+			lines := logs.FilterMessage("function panicked").FilterField(zap.String("duty", duty)).All()
 			if len(lines) != 1 || !strings.Contains(lines[0].ContextMap()["stack"].(string), "TestPanicDoesNotEndProcess") {
 				t.Errorf("lines of %s: got %v, want one with the stack", duty, lines)
 			}
--- a/kernel/watch/verify.go
+++ b/kernel/watch/verify.go
@@ -50,8 +50,12 @@
 	ctx, cancel := context.WithTimeout(ctx, min(timeout, s.fraction(readTimeout)))
 	defer cancel()
 	sent = time.Now()
-	listing, err := s.List(ctx, revisionPrefix)
-	return listing.Revision, sent, err
+	err = task.Guard(s.logger, "read of the revision", func() error {
+		listing, err := s.List(ctx, revisionPrefix)
+		revision = listing.Revision
+		return err
+	})
+	return revision, sent, err
 }
 
 // confirm reports whether this process has all changes up to a revision of the service
--- a/kernel/watch/watch.go
+++ b/kernel/watch/watch.go
@@ -221,7 +221,11 @@
 			cancelCall()
 			return
 		}
-		changes, err := s.Store.Watch(callCtx, "", after)
+		var changes platform.Changes
+		err := task.Guard(s.logger, "watch call", func() (err error) {
+			changes, err = s.Store.Watch(callCtx, "", after)
+			return err
+		})
 		replaced := callCtx.Err() != nil
 		ok = s.endCall(generation, replaced, changes, err, time.Since(started))
 		if ok && len(changes.Events) > 0 {
--- a/kernel/watch/watch_test.go
+++ b/kernel/watch/watch_test.go
@@ -229,3 +229,40 @@
 		}
 	})
 }
+
+// panickingStore panics at the first watch call, as a fault of a client would.
+type panickingStore struct {
+	platform.Store
+	panicked atomic.Bool
+}
+
+func (p *panickingStore) Watch(ctx context.Context, prefix string, after uint64) (platform.Changes, error) {
+	if !p.panicked.Swap(true) {
+		panic("malformed answer")
+	}
+	return p.Store.Watch(ctx, prefix, after)
+}
+
+// TestPanicOfWatchCall guards against processes that end, or hear of no more changes, because
+// a watch call panics.
+func TestPanicOfWatchCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := memory.New(time.Now)
+		store := newStore(&panickingStore{Store: service})
+		defer store.Close()
+		subscriber := &recorder{learned: make(map[string]time.Time)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = platform.Follow(ctx, store, "engines/", subscriber) }() // Ends with the context.
+		time.Sleep(applyPeriod)
+		if _, err := service.CompareAndSwap(ctx, "engines/a", []byte("1"), 0, 0); err != nil {
+			t.Fatalf("write: %v", err)
+		}
+		time.Sleep(applyPeriod)
+		subscriber.mutex.Lock()
+		defer subscriber.mutex.Unlock()
+		if _, known := subscriber.learned["engines/a"]; !known {
+			t.Error("change after a watch call that panicked: got unknown, want known")
+		}
+	})
+}
