--- a/keeper/metrics.go
+++ b/keeper/metrics.go
@@ -9,6 +9,7 @@
 
 	"limpethall.dev/keeper/ledger"
 	"limpethall.dev/kernel/network"
+	"limpethall.dev/kernel/task"
 )
 
 // instruments record the number and the duration of calls from halls.
@@ -41,6 +42,10 @@
 	if err != nil {
 		return nil, err
 	}
+	panics, err := meter.Int64ObservableGauge("limpethall.keeper.panics", metric.WithDescription("Panics that did not end the process."))
+	if err != nil {
+		return nil, err
+	}
 	gaps, err := meter.Int64ObservableGauge("limpethall.keeper.missing", metric.WithDescription("Turns that stored turns continue, but that this keeper lacks."))
 	if err != nil {
 		return nil, err
@@ -55,13 +60,14 @@
 		observer.ObserveInt64(programs, int64(programCount))
 		observer.ObserveInt64(gaps, int64(len(records.Gaps())))
 		observer.ObserveInt64(unavailable, int64(net.Unavailable()))
+		observer.ObserveInt64(panics, task.Panics())
 		readyValue := int64(0)
 		if records.Ready() {
 			readyValue = 1
 		}
 		observer.ObserveInt64(ready, readyValue)
 		return nil
-	}, turns, programs, gaps, ready, unavailable)
+	}, turns, programs, gaps, panics, ready, unavailable)
 	return i, err
 }
 
