footprint: reserve 256 KB in place of 1 MB for the stack of a thread

Under a limit of the data (ulimit -d) of 88,000 KB a hall ended, and of 92,000 KB a keeper, "pthread_create failed".

Cause: stacks of threads count as data of their whole size, 12 to 13 MB for the threads of a hall on eight cores, of which at most 16 KB each were in use.

Change: stacks of 256 KB, and a bound of VmData in the test, which also keeps its bound of the address space.

Why it works: only the Go runtime and the C library run on these stacks, and the runtime is content with 16 KB where it allocates them itself.

--- a/kernel/footprint/footprint_cgo.go
+++ b/kernel/footprint/footprint_cgo.go
@@ -17,7 +17,7 @@
 	mallopt(M_ARENA_MAX, 1);
 	if (pthread_attr_init(&attributes) != 0)
 		return;
-	if (pthread_attr_setstacksize(&attributes, 1 << 20) == 0)
+	if (pthread_attr_setstacksize(&attributes, 256 << 10) == 0)
 		pthread_setattr_default_np(&attributes);
 	pthread_attr_destroy(&attributes);
 }
--- a/kernel/footprint/footprint_linux_test.go
+++ b/kernel/footprint/footprint_linux_test.go
@@ -11,31 +11,37 @@
 	_ "limpethall.dev/kernel/footprint"
 )
 
-// addressSpace returns the size of the address space of this process in kilobytes.
-func addressSpace(t *testing.T) int {
+// kilobytes returns the value of a field of the status of this process, such as VmSize, its
+// address space, or VmData, the part of it that can be written and is not shared.
+func kilobytes(t *testing.T, field string) int {
 	t.Helper()
 	status, err := os.ReadFile("/proc/self/status")
 	if err != nil {
 		t.Fatalf("read: %v", err)
 	}
 	for line := range strings.Lines(string(status)) {
-		if value, found := strings.CutPrefix(line, "VmSize:"); found {
-			kilobytes := 0
-			if _, err := fmt.Sscan(value, &kilobytes); err != nil {
-				t.Fatalf("size of the address space %q: %v", value, err)
+		if value, found := strings.CutPrefix(line, field+":"); found {
+			size := 0
+			if _, err := fmt.Sscan(value, &size); err != nil {
+				t.Fatalf("%s %q: %v", field, value, err)
 			}
-			return kilobytes
+			return size
 		}
 	}
-	t.Fatal("size of the address space: got none in the status of the process")
+	t.Fatalf("%s: got none in the status of the process", field)
 	return 0
 }
 
 // TestThreadsNeedLittleAddressSpace guards against a process that can't start its threads
-// under a limit of the address space, because each of them reserves over 70 MB.
+// under a limit of the address space or of the data, because each of them reserves over 70 MB
+// of the one and over 8 MB of the other.
 func TestThreadsNeedLittleAddressSpace(t *testing.T) {
 	const threads = 40
-	before := addressSpace(t)
+	limits := map[string]int{"VmSize": 4 << 10, "VmData": 800}
+	before := make(map[string]int)
+	for field := range limits {
+		before[field] = kilobytes(t, field)
+	}
 	var started, finished sync.WaitGroup
 	end := make(chan struct{})
 	started.Add(threads)
@@ -47,8 +53,10 @@
 		})
 	}
 	started.Wait()
-	if got, want := (addressSpace(t)-before)/threads, 4<<10; got > want {
-		t.Errorf("address space for each thread: got %d kB, want at most %d kB", got, want)
+	for field, want := range limits {
+		if got := (kilobytes(t, field) - before[field]) / threads; got > want {
+			t.Errorf("%s for each thread: got %d kB, want at most %d kB", field, got, want)
+		}
 	}
 	close(end)
 	finished.Wait()
