archive: an error of the disk while running does not end a keeper

What callers saw: the process ended when a write or a sync of the records failed with another error than "no space", for example when the file system became read-only.

Cause: the database calls Fatalf of its logger after such an error, and that of zap ends the process.

What changed: as while the disk is full, writes wait until the disk works, and Writable returns a *WriteError, so that callers use the other keepers. The same holds for creating files (EIO, EMFILE). After a failed sync the system may have dropped what was written and report success the next time, so logs and manifests hold what was written since their last sync and write it again before they repeat the sync; the failed sync of a table is returned to the database, which writes a new table. Fatalf never ends the process: for what else may call it, writes are refused until a restart. Close returns while the disk can't be written, and after 2 s if it is slow. Open returns when its context ends, also if the database waits for the disk. The state is logged at once and every 10 s, and counted.

Why it works: the database never sees a failed write of its log or manifest, and no sync counts that did not cover the data.

Test: TestFailingDiskDoesNotEndProcess drops the unsynced data at each failed sync, as Linux does, and reads the archive after a loss of power. Before: the process ended at the first error.

--- a/keeper/archive/archive.go
+++ b/keeper/archive/archive.go
@@ -4,9 +4,9 @@
 // with one range deletion, which lets the database reclaim its space. Store
 // returns once the records are synced; concurrent callers share a sync.
 //
-// While the disk has no space, writes wait, and Writable returns a *FullError, so that
-// callers can refuse a request before they change anything. Records can be read all the
-// while.
+// While the disk has no space or fails to write, writes wait, and Writable returns a
+// *FullError or *WriteError, so that callers can refuse a request before they change
+// anything. Records can be read all the while.
 //
 // Damage of the files ends nothing: what can be read of them is moved to a new database.
 //
@@ -29,6 +29,7 @@
 	"time"
 
 	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"go.uber.org/zap"
 )
 
@@ -39,6 +40,8 @@
 	blockCacheBytes = 1 << 20
 	// bucketDuration is the range of expiry times covered by one bucket.
 	bucketDuration = 10 * time.Second
+	// closeTimeout bounds the wait of Close.
+	closeTimeout = 2 * time.Second
 	// bucketPrefixBytes is the length of the bucket in front of a disk key: a
 	// big-endian Unix time in seconds.
 	bucketPrefixBytes = 8
@@ -47,6 +50,8 @@
 // lastBucket is the first disk key after all buckets.
 var lastBucket = bytes.Repeat([]byte{0xff}, bucketPrefixBytes)
 
+var errCloseTimeout = errors.New("the disk is too slow to close the archive")
+
 // Record is a key-value pair with an expiry time.
 type Record struct {
 	Key     string
@@ -68,6 +73,8 @@
 	damaged bool
 	damage  atomic.Pointer[DamageError] // Found by the database while it is open.
 
+	backgroundErrorNoted atomic.Int64 // Unix time in nanoseconds.
+
 	mutex  sync.RWMutex // Held for reading by operations, as the database panics if it is closed meanwhile.
 	closed bool
 }
@@ -77,12 +84,30 @@
 func (a *Archive) Damaged() bool { return a.damaged }
 
 // Close waits for the operations in progress and closes the database. Later operations
-// return a *ClosedError. While the disk is full it does nothing: closing would wait for
-// space, and synced records need no close.
+// return a *ClosedError. While the disk can't be written it returns an error at once, and
+// soon if the disk is slow: synced records need no close.
 func (a *Archive) Close() error {
 	if err := a.Writable(); err != nil {
 		return err
 	}
+	closed := make(chan error, 1)
+	go func() { closed <- a.close() }()
+	deadline := time.After(closeTimeout)
+	for {
+		if err := a.Writable(); err != nil {
+			return err
+		}
+		select {
+		case err := <-closed:
+			return err
+		case <-deadline:
+			return errCloseTimeout
+		case <-time.After(writeRetryInterval):
+		}
+	}
+}
+
+func (a *Archive) close() error {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.closed {
@@ -103,12 +128,34 @@
 	return a.mutex.RUnlock, nil
 }
 
-// Writable returns a *FullError if the disk has no space.
+// Writable returns a *FullError if the disk has no space, and a *WriteError if it fails to
+// write.
 func (a *Archive) Writable() error {
-	if full := a.fs.full.Load(); full != nil {
-		return full
+	failure := a.failure()
+	switch {
+	case failure == nil:
+		return nil
+	case vfs.IsNoSpaceError(failure):
+		return &FullError{since: failure.since}
 	}
-	return nil
+	return failure
+}
+
+func (a *Archive) failure() *WriteError {
+	if stopped := a.fs.stopped.Load(); stopped != nil {
+		return stopped
+	}
+	return a.fs.failed.Load()
+}
+
+// noteBackgroundError logs an error of the database's own work, which it tries again at once.
+func (a *Archive) noteBackgroundError(err error) {
+	now := time.Now().UnixNano()
+	noted := a.backgroundErrorNoted.Load()
+	if now-noted >= int64(reminderInterval) && a.backgroundErrorNoted.CompareAndSwap(noted, now) {
+		a.fs.logger.Error("the database failed to reorganize its files, trying again", zap.Error(err))
+	}
+	time.Sleep(writeRetryInterval)
 }
 
 // Store writes the records in one batch and returns once they are synced.
@@ -219,7 +266,20 @@
 }
 
 // pebbleLogger forwards the database's errors and discards its progress messages.
-type pebbleLogger struct{ *zap.SugaredLogger }
+type pebbleLogger struct {
+	*zap.SugaredLogger
+	fs *waitingFS
+}
 
 // Infof implements pebble.Logger.
-func (l pebbleLogger) Infof(string, ...any) {}
+func (pebbleLogger) Infof(string, ...any) {}
+
+// Fatalf implements pebble.Logger. The database can't go on, but its callers expect that
+// Fatalf doesn't return. Writes are refused until the process is restarted.
+func (l pebbleLogger) Fatalf(format string, values ...any) {
+	err := fmt.Errorf(format, values...)
+	l.Errorw("the database can't go on; writes are refused until a restart", "error", err)
+	l.fs.failures.Add(1)
+	l.fs.stopped.Store(&WriteError{since: time.Now(), err: err})
+	select {}
+}
--- a/keeper/archive/generation.go
+++ b/keeper/archive/generation.go
@@ -26,6 +26,8 @@
 	// The database marks its current format and manifest by files with these prefixes.
 	formatMarker   = "marker.format-version."
 	manifestMarker = "marker.manifest."
+	// manifestPrefix begins the names of manifests.
+	manifestPrefix = "MANIFEST-"
 )
 
 // salvagedKey is the disk key of the number of the generation up to which the records of
--- a/keeper/archive/metrics.go
+++ b/keeper/archive/metrics.go
@@ -23,9 +23,18 @@
 	if i.salvages, err = meter.Int64Counter("limpethall.keeper.disk.salvaged", metric.WithDescription("Records that were read from damaged files.")); err != nil {
 		return err
 	}
-	_, err = meter.Float64ObservableGauge("limpethall.keeper.disk.unusable", metric.WithUnit("s"), metric.WithDescription("Since when the disk can't be used, 0 if it can."),
+	if _, err = meter.Int64ObservableCounter("limpethall.keeper.disk.failures", metric.WithDescription("Writes and syncs that failed."),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			if archive := o.current.Load(); archive != nil {
+				observer.Observe(archive.fs.failures.Load())
+			}
+			return nil
+		})); err != nil {
+		return err
+	}
+	_, err = meter.Float64ObservableGauge("limpethall.keeper.disk.unusable", metric.WithUnit("s"), metric.WithDescription("For how long the disk can't be used, 0 if it can."),
 		metric.WithFloat64Callback(func(_ context.Context, observer metric.Float64Observer) error {
-			observer.Observe(o.waited().Seconds())
+			observer.Observe(o.unusable().Seconds())
 			return nil
 		}))
 	return err
--- a/keeper/archive/open.go
+++ b/keeper/archive/open.go
@@ -99,17 +99,17 @@
 	options      Options
 	logger       *zap.Logger
 	instruments  instruments
-	waitingSince atomic.Int64 // Unix time in nanoseconds, 0 while the archive can be used.
+	waitingSince atomic.Int64            // Unix time in nanoseconds, 0 while the archive can be used.
+	current      atomic.Pointer[Archive] // Opened last.
 	reminded     time.Time
 	damagedSince time.Time // When read errors began to be the reason, zero if they aren't.
 	replaced     time.Time // When damaged files were last replaced.
 }
 
 func (o *opener) open(ctx context.Context) (*Archive, error) {
-	fs := &waitingFS{FS: o.options.FS, logger: o.logger}
 	interval := lockInterval
 	for {
-		archive, err := o.openLocked(ctx, fs)
+		archive, err := o.openUnlessStopped(ctx)
 		if err == nil {
 			o.noteUsable()
 			return archive, nil
@@ -129,12 +129,38 @@
 	}
 }
 
+// openUnlessStopped opens the archive once. It returns when the context ends, even if the
+// database waits for the disk.
+func (o *opener) openUnlessStopped(ctx context.Context) (*Archive, error) {
+	type result struct {
+		archive *Archive
+		err     error
+	}
+	results := make(chan result, 1)
+	go func() {
+		archive, err := o.openLocked(ctx)
+		results <- result{archive: archive, err: err}
+	}()
+	select {
+	case opened := <-results:
+		return opened.archive, opened.err
+	case <-ctx.Done():
+		go func() {
+			if opened := <-results; opened.err == nil {
+				o.logger.Info("closed an archive that was opened after the stop", zap.Error(opened.archive.Close()))
+			}
+		}()
+		return nil, ctx.Err()
+	}
+}
+
 // openLocked opens the archive once, if no other process has locked it.
-func (o *opener) openLocked(ctx context.Context, fs *waitingFS) (archive *Archive, err error) {
+func (o *opener) openLocked(ctx context.Context) (archive *Archive, err error) {
+	fs := o.options.FS
 	if err := fs.MkdirAll(o.options.Dir, 0o755); err != nil {
 		return nil, err
 	}
-	lock, err := fs.FS.Lock(fs.PathJoin(o.options.Dir, lockName))
+	lock, err := fs.Lock(fs.PathJoin(o.options.Dir, lockName))
 	if err != nil {
 		return nil, err
 	}
@@ -171,9 +197,8 @@
 func (o *opener) isDamage(fs vfs.FS, err error) bool {
 	var format *FormatError
 	isReadError := errors.Is(err, syscall.EIO)
-	isMachineError := slices.ContainsFunc(machineErrors, func(machineError error) bool { return errors.Is(err, machineError) })
 	switch {
-	case errors.As(err, &format), isMachineError && !isReadError:
+	case errors.As(err, &format), isMachineError(err) && !isReadError:
 		o.damagedSince = time.Time{}
 		return false
 	case time.Since(o.replaced) < damagePatience:
@@ -187,6 +212,12 @@
 	return time.Since(o.damagedSince) >= damagePatience && isWritable(fs, o.options.Dir) == nil
 }
 
+// isMachineError reports whether an error is one of the disk or the system, rather than of
+// the content of files.
+func isMachineError(err error) bool {
+	return slices.ContainsFunc(machineErrors, func(machineError error) bool { return errors.Is(err, machineError) })
+}
+
 // isWritable returns an error if no file can be written to the directory.
 func isWritable(fs vfs.FS, dir string) error {
 	name := fs.PathJoin(dir, probeName)
@@ -200,13 +231,14 @@
 
 // openGeneration opens the newest generation and reads the older ones if it doesn't have
 // their records yet.
-func (o *opener) openGeneration(ctx context.Context, fs *waitingFS, generations *generations) (*Archive, error) {
+func (o *opener) openGeneration(ctx context.Context, fs vfs.FS, generations *generations) (*Archive, error) {
 	current := generations.current()
 	if err := current.check(fs); err != nil {
 		return nil, err
 	}
-	archive := &Archive{fs: fs, damaged: current.number > 0}
-	db, err := openDatabase(fs, current.dir, o.logger, archive)
+	archive := &Archive{fs: &waitingFS{FS: fs, logger: o.logger}, damaged: current.number > 0}
+	o.current.Store(archive)
+	db, err := openDatabase(current.dir, o.logger, archive)
 	if err != nil {
 		return nil, err
 	}
@@ -227,7 +259,7 @@
 
 // openDatabase opens the database in a directory. It returns a *DamageError if the database
 // panics, which it does for some damaged files.
-func openDatabase(fs vfs.FS, dir string, logger *zap.Logger, archive *Archive) (db *pebble.DB, err error) {
+func openDatabase(dir string, logger *zap.Logger, archive *Archive) (db *pebble.DB, err error) {
 	defer func() {
 		if reason := recover(); reason != nil {
 			err = &DamageError{reason: fmt.Sprint(reason)}
@@ -235,9 +267,9 @@
 	}()
 	cache := pebble.NewCache(blockCacheBytes)
 	defer cache.Unref()
-	options := databaseOptions(fs, logger)
+	options := databaseOptions(archive.fs, logger)
 	options.Cache = cache
-	options.EventListener = &pebble.EventListener{DataCorruption: func(info pebble.DataCorruptionInfo) {
+	options.EventListener = &pebble.EventListener{BackgroundError: archive.noteBackgroundError, DataCorruption: func(info pebble.DataCorruptionInfo) {
 		if archive.damage.CompareAndSwap(nil, &DamageError{reason: info.String()}) {
 			logger.Error("records are damaged", zap.Stringer("damage", info))
 		}
@@ -245,13 +277,13 @@
 	return pebble.Open(dir, options)
 }
 
-func databaseOptions(fs vfs.FS, logger *zap.Logger) *pebble.Options {
+func databaseOptions(fs *waitingFS, logger *zap.Logger) *pebble.Options {
 	return &pebble.Options{
 		FS:                          fs,
 		MemTableSize:                memTableBytes,
 		MemTableStopWritesThreshold: 4,
 		MaxOpenFiles:                64,
-		Logger:                      pebbleLogger{logger.Sugar()},
+		Logger:                      pebbleLogger{SugaredLogger: logger.Sugar(), fs: fs},
 		FormatMajorVersion:          pebble.FormatNewest,
 	}
 }
@@ -278,7 +310,7 @@
 	o.waitingSince.Store(0)
 }
 
-// waited returns for how long the archive can't be used, 0 if it can.
+// waited returns for how long opening has waited, 0 if the archive is open.
 func (o *opener) waited() time.Duration {
 	since := o.waitingSince.Load()
 	if since == 0 {
@@ -286,3 +318,13 @@
 	}
 	return time.Since(time.Unix(0, since))
 }
+
+// unusable returns for how long the archive can't be opened or written, 0 if it can.
+func (o *opener) unusable() time.Duration {
+	if archive := o.current.Load(); archive != nil {
+		if failure := archive.failure(); failure != nil {
+			return time.Since(failure.since)
+		}
+	}
+	return o.waited()
+}
--- a/keeper/archive/salvage.go
+++ b/keeper/archive/salvage.go
@@ -88,9 +88,7 @@
 
 // isPassing reports whether a file may be read at a later attempt.
 func isPassing(err error) bool {
-	return slices.ContainsFunc(machineErrors, func(machineError error) bool {
-		return !errors.Is(machineError, syscall.EIO) && errors.Is(err, machineError)
-	})
+	return isMachineError(err) && !errors.Is(err, syscall.EIO)
 }
 
 // writeError is an error of storing a salvaged record, as opposed to reading one.
