host: a stopping process does not register again

Callers saw nothing yet; follows from starts that overlap the drain of the process before, which its address for other hosts no longer prevents.

Cause, from reading: a registrar that loses its lease registers its key again, with its own value. A hall that drains for seconds would so replace the entry of its successor on the roster, or its holder key, and delete it at its end, while the successor's lease is valid and it notices nothing.

--- a/hall/ratelimit/share_manager.go
+++ b/hall/ratelimit/share_manager.go
@@ -256,6 +256,7 @@
 // the table and ends its lease. The last hall keeps its entry.
 func (m *ShareManager) Leave(ctx context.Context) error {
 	m.leaving.Store(true)
+	m.registrar.Retire()
 	m.limiter.SetSlices(limit.SliceSet{}, false)
 	listing, err := m.store.List(ctx, limitsPrefix)
 	if err != nil {
--- a/kernel/host/registrar.go
+++ b/kernel/host/registrar.go
@@ -43,6 +43,7 @@
 	leaseID       atomic.Uint64
 	epoch         atomic.Uint64
 	version       atomic.Uint64
+	retired       atomic.Bool
 	deregistered  atomic.Bool
 	lastReadNs    atomic.Int64 // Unix nanoseconds at which the last read that found the key was sent.
 	lastRenewalNs atomic.Int64 // Unix nanoseconds at which the last successful keepalive was sent.
@@ -82,7 +83,7 @@
 // Deregister is called. If the lease is lost, it registers the key again.
 func (r *Registrar) Run(ctx context.Context) error {
 	startedAt := time.Now()
-	for ctx.Err() == nil && !r.deregistered.Load() {
+	for ctx.Err() == nil && !r.retired.Load() && !r.deregistered.Load() {
 		starting := time.Since(startedAt) < startupPeriod
 		lease, err := r.registerWithTimeout(ctx, starting)
 		if err != nil {
@@ -142,6 +143,10 @@
 	return err
 }
 
+// Retire ends new registrations, for a process that stops: once its lease is lost, its
+// successor may have registered the key. Run keeps the present lease alive.
+func (r *Registrar) Retire() { r.retired.Store(true) }
+
 // Deregister revokes the lease, which deletes the key. Run does not register it
 // again.
 func (r *Registrar) Deregister(ctx context.Context) error {
