ledger: fetch turns whose records can't be read

What callers saw: after a block of a table had become unreadable, each program with a turn in it got 503 from this keeper until a restart, and no other keeper could copy from it, so that new ones never became ready.

Cause: the index keeps a turn whose record can't be read. Each read of it failed, and with it the whole page of a copy, at each attempt.

Ruled out: such a turn was not reported as absent, as the error reached the hall, which then does not count this keeper's answer.

What changed: a turn whose read fails is marked in the index.

Test: TestUnreadableTurnsAreFetched.

--- a/keeper/ledger/copy.go
+++ b/keeper/ledger/copy.go
@@ -69,11 +69,12 @@
 		l.mutex.Lock()
 		entry, found := l.turns[id]
 		l.mutex.Unlock()
-		if !found {
+		if !found || entry.unreadable {
 			return 0, nil
 		}
 		turn, err := l.readTurn(id, entry)
 		if err != nil {
+			l.noteUnreadable(id, err)
 			return 0, err
 		}
 		reply.Turns = append(reply.Turns, turn)
@@ -113,7 +114,7 @@
 // mutex.
 func (l *Ledger) mergeTurn(now time.Time, turn *wire.Turn) []archive.Record {
 	expires := time.UnixMilli(turn.GetExpiresUnixMilliseconds())
-	if _, found := l.turns[turn.GetId()]; found || !expires.After(now) {
+	if entry, found := l.turns[turn.GetId()]; (found && !entry.unreadable) || !expires.After(now) {
 		return nil
 	}
 	record, err := encodeTurn(turn, expires)
--- a/keeper/ledger/gap.go
+++ b/keeper/ledger/gap.go
@@ -7,9 +7,9 @@
 	"limpethall.dev/kernel/wire"
 )
 
-// Gap is a turn that a stored turn continues, but that this keeper lacks. Turns are stored
-// on a quorum of the replicas, so a keeper lacks those that were stored while it was down
-// or before it was called in place of another replica.
+// Gap is a turn that this keeper lacks: one that a stored turn continues, or that it stored
+// but can't read. Turns are stored on a quorum of the replicas, so a keeper lacks those that
+// were stored while it was down or before it was called in place of another replica.
 type Gap struct {
 	turn      string
 	placement string
@@ -25,7 +25,7 @@
 // noteGap notes that a chain needs the turn until the given time, if the turn is missing.
 // The caller must hold the mutex, except in Open.
 func (l *Ledger) noteGap(turn, placement string, until time.Time) {
-	if _, found := l.turns[turn]; found || turn == "" {
+	if entry, found := l.turns[turn]; (found && !entry.unreadable) || turn == "" {
 		return
 	}
 	if known, found := l.gaps[turn]; found && known.expires.After(until) {
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -46,6 +46,8 @@
 	workspace string
 	placement string
 	expires   time.Time // Of the record on disk.
+	// unreadable is set after the record could not be read. It is fetched from another keeper.
+	unreadable bool
 }
 
 // newTurnEntry returns the index entry of a turn.
@@ -222,6 +224,7 @@
 	for index := len(chain) - 1; index >= 0; index-- {
 		stored, err := l.readTurn(chain[index].id, chain[index].entry)
 		if err != nil {
+			l.noteUnreadable(chain[index].id, err)
 			return nil, err
 		}
 		reply.Parts = append(reply.Parts, stored.GetInput(), stored.GetOutput())
@@ -361,76 +364,6 @@
 	return archive.Record{Key: turnPrefix + turn.GetId(), Value: value, Expires: entry.expires}, nil
 }
 
-// extendChain extends the turns of a chain that would expire before the given
-// time and returns the records to store. Turns before a missing one are extended when
-// that one has been fetched. The caller must hold the mutex.
-func (l *Ledger) extendChain(now time.Time, id, placement string, until time.Time) []archive.Record {
-	var records []archive.Record
-	for range maxChainLength {
-		entry, found := l.turns[id]
-		if !found {
-			l.noteGap(id, placement, until)
-			break
-		}
-		if entry.expires.Before(until) {
-			value, err := l.archive.Read(turnPrefix+id, entry.expires)
-			if err != nil {
-				l.logger.Error("failed to read stored turn", zap.String("turn", id), zap.Error(err))
-				break
-			}
-			entry.expires = until.Add(until.Sub(now) * extraRetentionFactor)
-			l.turns[id] = entry
-			records = append(records, archive.Record{Key: turnPrefix + id, Value: value, Expires: entry.expires})
-		}
-		id = entry.previous
-	}
-	return records
-}
-
-// link is one turn of a chain.
-type link struct {
-	id    string
-	entry turnEntry
-}
-
-// chain returns the turn and its predecessors, newest first. If one of these is missing,
-// the chain ends before it, and missing is its ID.
-func (l *Ledger) chain(turn, workspace string) (chain []link, missing string, verdict wire.FindVerdict) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if turn == "" {
-		return nil, "", wire.FindVerdict_FIND_VERDICT_ABSENT
-	}
-	for id := turn; id != ""; {
-		entry, found := l.turns[id]
-		switch {
-		case !found && id == turn && l.Ready():
-			return nil, "", wire.FindVerdict_FIND_VERDICT_ABSENT
-		case !found && id == turn, len(chain) == maxChainLength:
-			return nil, "", wire.FindVerdict_FIND_VERDICT_UNCERTAIN
-		case !found:
-			return chain, id, wire.FindVerdict_FIND_VERDICT_PARTIAL
-		case entry.workspace != workspace:
-			return nil, "", wire.FindVerdict_FIND_VERDICT_FOREIGN
-		}
-		chain = append(chain, link{id: id, entry: entry})
-		id = entry.previous
-	}
-	return chain, "", wire.FindVerdict_FIND_VERDICT_FOUND
-}
-
-func (l *Ledger) readTurn(id string, entry turnEntry) (*wire.Turn, error) {
-	value, err := l.archive.Read(turnPrefix+id, entry.expires)
-	if err != nil {
-		return nil, err
-	}
-	decoded, err := decodeRecord(archive.Record{Key: turnPrefix + id, Value: value, Expires: entry.expires})
-	if err != nil {
-		return nil, err
-	}
-	return decoded.(turnRecord).turn, nil
-}
-
 // load adds a record from disk to the index when the ledger is opened.
 func (l *Ledger) load(record archive.Record) {
 	decoded, err := decodeRecord(record)
