ledger: read a turn again whose record could not be read

What callers would see: programs that can't go on, although their turns are on disk.

Cause: since turns whose records can't be read are marked, so that they are fetched from another keeper, one failed read marked a turn until it was fetched. If all keepers that have it mark it, none returns it.

Changed: a marked turn is read again whenever it is looked up, and the mark and the gap go away once that succeeds.

TestTurnIsReadAgain: without the change 503 for ever (UNCERTAIN, and the gaps stay), with it the whole chain is returned.

--- a/keeper/ledger/chain.go
+++ b/keeper/ledger/chain.go
@@ -16,7 +16,7 @@
 func (l *Ledger) extendChain(now time.Time, id, placement string, until time.Time) []archive.Record {
 	var records []archive.Record
 	for range maxChainLength {
-		entry, found := l.turns[id]
+		entry, found := l.lookup(id)
 		if !found || entry.unreadable {
 			l.noteGap(id, placement, until)
 			break
@@ -51,7 +51,7 @@
 		return nil, "", wire.FindVerdict_FIND_VERDICT_ABSENT
 	}
 	for id := turn; id != ""; {
-		entry, found := l.turns[id]
+		entry, found := l.lookup(id)
 		switch {
 		case !found && id == turn && l.Ready():
 			return nil, "", wire.FindVerdict_FIND_VERDICT_ABSENT
@@ -86,6 +86,24 @@
 	return decoded.(turnRecord).turn, nil
 }
 
+// lookup returns the index entry of a turn. It reads an unreadable record again, because a
+// read may fail for a moment, such as while the record is still being stored. The caller
+// must hold the mutex.
+func (l *Ledger) lookup(id string) (entry turnEntry, found bool) {
+	entry, found = l.turns[id]
+	if !found || !entry.unreadable {
+		return entry, found
+	}
+	if _, err := l.archive.Read(turnPrefix+id, entry.expires); err != nil {
+		return entry, true
+	}
+	entry.unreadable = false
+	l.turns[id] = entry
+	delete(l.gaps, id)
+	l.logger.Info("stored turn can be read again", zap.String("turn", id))
+	return entry, true
+}
+
 // noteUnreadable notes that the record of a turn can't be read, so that it is fetched from
 // another keeper. Until then, the turn is neither returned nor reported as absent.
 func (l *Ledger) noteUnreadable(id string, err error) {
--- a/keeper/ledger/copy.go
+++ b/keeper/ledger/copy.go
@@ -67,7 +67,7 @@
 func (l *Ledger) addToPage(reply *wire.CopyReply, key string) (int, error) {
 	if id, isTurn := strings.CutPrefix(key, turnPrefix); isTurn {
 		l.mutex.Lock()
-		entry, found := l.turns[id]
+		entry, found := l.lookup(id)
 		l.mutex.Unlock()
 		if !found || entry.unreadable {
 			return 0, nil
--- a/keeper/ledger/unreadable_test.go
+++ b/keeper/ledger/unreadable_test.go
@@ -55,11 +55,10 @@
 	return f.File.ReadAt(buffer, offset)
 }
 
-// TestUnreadableTurnsAreFetched guards against turns that are reported as absent, or never
-// returned again, because their records can't be read while the keeper runs, and against
-// other keepers that can't copy the records which can be read.
-func TestUnreadableTurnsAreFetched(t *testing.T) {
-	fs := &unreadableFS{FS: vfs.NewMem()}
+// openUnreadable stores a chain of turns, more than the database holds in memory, opens the
+// ledger again and makes its tables unreadable. It returns the turns by ID and the newest.
+func openUnreadable(t *testing.T, fs *unreadableFS, count int) (l *ledger.Ledger, turns map[string]*wire.Turn, newest string) {
+	t.Helper()
 	open := func() (*ledger.Ledger, *archive.Archive) {
 		t.Helper()
 		disk, err := archive.OpenFS(t.Context(), fs, "data", zap.NewNop())
@@ -76,10 +75,7 @@
 	if err := l.SetReady(true); err != nil {
 		t.Fatalf("set ready: %v", err)
 	}
-	// More than the database holds in memory.
-	const count = 20
-	turns := make(map[string]*wire.Turn)
-	newest := ""
+	turns = make(map[string]*wire.Turn)
 	for index := range count {
 		turn := newTurn(fmt.Sprintf("turn-%d", index), newest, "w")
 		turn.Input = make([]byte, 200<<10)
@@ -91,8 +87,17 @@
 		t.Fatalf("close: %v", err)
 	}
 	l, disk = open()
-	defer func() { _ = disk.Close() }()
+	t.Cleanup(func() { _ = disk.Close() })
 	fs.breakTables(t)
+	return l, turns, newest
+}
+
+// TestUnreadableTurnsAreFetched guards against turns that are reported as absent, or never
+// returned again, because their records can't be read while the keeper runs, and against
+// other keepers that can't copy the records which can be read.
+func TestUnreadableTurnsAreFetched(t *testing.T) {
+	const count = 20
+	l, turns, newest := openUnreadable(t, &unreadableFS{FS: vfs.NewMem()}, count)
 	copied := false
 	for range 2 * count {
 		_, err := l.Page(nil, func(string) bool { return true })
@@ -125,3 +130,26 @@
 		t.Errorf("turn after the unreadable ones were fetched: got %s, want %s", verdict, want)
 	}
 }
+
+// TestTurnIsReadAgain guards against turns that stay unavailable because a read of their
+// records failed for a moment, although no other keeper has them.
+func TestTurnIsReadAgain(t *testing.T) {
+	fs := &unreadableFS{FS: vfs.NewMem()}
+	const count = 20
+	l, _, newest := openUnreadable(t, fs, count)
+	for range 2 * count {
+		_, _ = l.Find(newest, "w")                            // Notes what can't be read.
+		_, _ = l.Page(nil, func(string) bool { return true }) // Ends at the first such record.
+	}
+	if len(l.Gaps()) == 0 {
+		t.Fatal("turns that can't be read: got none, want some")
+	}
+	fs.broken.Store(nil)
+	reply, err := l.Find(newest, "w")
+	if got, want := reply.GetVerdict(), wire.FindVerdict_FIND_VERDICT_FOUND; err != nil || got != want || len(reply.GetParts()) != 2*count {
+		t.Errorf("turn once its disk is read again: got %s with %d parts and %v, want %s with %d", got, len(reply.GetParts()), err, want, 2*count)
+	}
+	if got := len(l.Gaps()); got != 0 {
+		t.Errorf("missing turns once the disk is read again: got %d, want none", got)
+	}
+}
