turns: look at the list of keepers only after a failed call

Found by review: the result of each call to a keeper copied the whole list, 5 KB with 102 keepers, though only a failed call needs it. The cost of a call must not grow with the number of keepers. The tests of hall and platform/deployment that cover failed calls pass as before; no figure was taken after the change.

--- a/hall/turns/quorum.go
+++ b/hall/turns/quorum.go
@@ -111,9 +111,11 @@
 	if errors.Is(err, errStaleList) || (err != nil && errors.Is(ctx.Err(), context.Canceled)) {
 		return // A keeper with a newer list works, and a canceled call says nothing about its keeper.
 	}
-	listed := c.keepers.List().All()
-	if index := slices.IndexFunc(listed, func(k replication.Keeper) bool { return k.Name == keeper.Name }); err != nil && index >= 0 {
-		keeper = listed[index]
+	if err != nil {
+		listed := c.keepers.List().All()
+		if index := slices.IndexFunc(listed, func(k replication.Keeper) bool { return k.Name == keeper.Name }); index >= 0 {
+			keeper = listed[index]
+		}
 	}
 	c.mutex.Lock()
 	_, failedBefore := c.failedAt[keeper.Name]
