keeper: change the address in the list only while the entry is unchanged

Found by review, from reading: a keeper that comes back with another port while its list still has it, just as another keeper removes it as lost, wrote its entry anew without a condition. It was listed again as complete, though others had stored records in its place, and answered "absent" for them.

Changed: a new address replaces the entry only at the version that was read. After a removal that fails; the list is read again, and the keeper marks its disk as incomplete before it joins, as after any removal.

TestUpdateKeepsMemberRemoved: an entry that was removed is not written again; one that is listed gets its new address.

--- a/keeper/replication.go
+++ b/keeper/replication.go
@@ -94,14 +94,19 @@
 		k.joined = true
 		return true
 	}
-	// A listed keeper at another address has missed no more than one that was merely down.
+	// A listed keeper at another address has missed no more than one that was merely down,
+	// unless it was removed from the list meanwhile.
+	write := k.membership.Put
+	if listed {
+		write = k.membership.Update
+	}
 	if !listed && (!k.options.Bootstrap || k.joined || k.copied.Load() != nil) {
 		if err := k.ledger.SetReady(false); err != nil {
 			k.logger.Error("failed to mark the disk as incomplete", zap.Error(err))
 			return false
 		}
 	}
-	if err := k.membership.Put(ctx, k.memberDocument(false)); err != nil {
+	if err := write(ctx, k.memberDocument(false)); err != nil {
 		k.logger.Warn("failed to add keeper to the member list", zap.Error(err))
 		return false
 	}
--- a/kernel/replication/membership.go
+++ b/kernel/replication/membership.go
@@ -332,6 +332,25 @@
 	return platform.PutWithRetry(ctx, m.store, memberPrefix+document.Name, value)
 }
 
+// Update replaces a member's entry in the store unless that has changed, or was removed,
+// since it was read.
+func (m *Membership) Update(ctx context.Context, document MemberDocument) error {
+	value, err := json.Marshal(document)
+	if err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	member, found := m.members[document.Name]
+	m.mutex.Unlock()
+	if !found {
+		return platform.NewNotFoundError(memberPrefix + document.Name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	_, err = m.store.CompareAndSwap(ctx, memberPrefix+document.Name, value, member.version, 0)
+	return err
+}
+
 // Remove removes a member from the store unless its entry has changed since it was
 // read.
 func (m *Membership) Remove(ctx context.Context, name string) error {
--- a/kernel/replication/membership_test.go
+++ b/kernel/replication/membership_test.go
@@ -1,9 +1,15 @@
 package replication_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"go.uber.org/zap"
+
+	"limpethall.dev/kernel/platform/memory"
 	"limpethall.dev/kernel/replication"
 )
 
@@ -57,3 +63,45 @@
 		})
 	}
 }
+
+// TestUpdateKeepsMemberRemoved guards against a keeper that counts as complete although it
+// was off the list for a moment: it comes back with another address just as it is removed.
+func TestUpdateKeepsMemberRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		store := memory.New(time.Now)
+		membership := replication.NewMembership(store, zap.NewNop())
+		go func() { _ = membership.Follow(ctx) }()
+		member := replication.MemberDocument{Name: "keeper-1", Zone: "a", Address: "10.0.0.1:7780"}
+		if err := membership.Put(ctx, member); err != nil {
+			t.Fatalf("put: %v", err)
+		}
+		time.Sleep(time.Second)
+		member.Address = "10.0.0.1:7781"
+		if err := membership.Update(ctx, member); err != nil {
+			t.Errorf("update of a listed member: got %v, want no error", err)
+		}
+		time.Sleep(time.Second)
+		if got := membership.List().All(); len(got) != 1 || got[0].Address != member.Address {
+			t.Errorf("list after the update: got %v, want %s", got, member.Address)
+		}
+		other := replication.NewMembership(store, zap.NewNop())
+		otherCtx, stopFollowing := context.WithCancel(ctx)
+		go func() { _ = other.Follow(otherCtx) }()
+		time.Sleep(time.Second)
+		stopFollowing() // From here on, its list is old.
+		if err := membership.Remove(ctx, member.Name); err != nil {
+			t.Fatalf("remove: %v", err)
+		}
+		member.Address = "10.0.0.1:7782"
+		if err := other.Update(ctx, member); err == nil {
+			t.Error("update of a member that was removed: got no error, want one")
+		}
+		time.Sleep(time.Second)
+		if got := membership.List().All(); len(got) != 0 {
+			t.Errorf("list after the update of a removed member: got %v, want none", got)
+		}
+	})
+}
