ingress: bound the memory for the bodies of requests

What callers saw: a hall ended while many callers uploaded large bodies slowly: 40 uploads of 4 MB took it from 20 to 184 MB, past a limit of 134 MB at about 30. All requests that it served were broken off.

Cause: the whole Content-Length was allocated before the first byte of the body had come, and nothing bounded the sum. Calls that a hall forwards to a keeper, up to 16 MB each, had no bound of their sum either, and no time limit for their body; messages of other hosts to a hall had no limit at all.

What changed: kernel/buffer reads bodies. Memory is taken as bytes arrive, from a budget of a quarter of MemoryMb, or 64 MB without it. A body that finds no memory is refused at once with 503 and Retry-After, logged as a request and counted; an announced length that does not fit at the moment is refused before the body is read. Bodies above 16 KB leave a quarter of the budget to smaller ones. Large or chunked bodies of requests without a route, a valid key or a service, or that outlast a stopping hall, are refused before they are read. Forwarded calls use the same budget and must arrive within the time of a call.

Why it works: memory is taken before it is allocated, with one compare and swap for a body up to 4 KB, and returned by a deferred call, also when the request panics.

Tests: TestMemoryOfUploadsIsBounded starts 40 uploads of 1 MB at a hall with 16 MB. Before: the hall went on reading all 40, and none was refused. Now: at most 6 are read, the others get 503, a small request beside them is served, and the memory in use returns to zero. TestLargeRequestIsRefusedBeforeItsBody: before, no response within a second; now 404 at once. TestMemoryOfAbortedRequestIsReturned and TestMemoryOfConcurrentBodies watch the return of the memory. All pass with the race detector, as do the tests of the gateway, the deployment and the process, run once.

--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -145,7 +145,7 @@
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, request *Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	h := &requestHandler{gateway: g, request: request, writer: w, catalog: g.options.Catalog()}
+	h := g.newHandler(w, request)
 	defer h.log()
 	if refusal := h.serve(ctx); refusal != nil {
 		h.refusal = refusal
@@ -160,6 +160,22 @@
 	}
 }
 
+// RefuseEarly refuses a request that cannot be served whatever its body is, so that the
+// body need not be read. It reports whether it did.
+func (g *Gateway) RefuseEarly(w http.ResponseWriter, request *Request) bool {
+	h := g.newHandler(w, request)
+	refusal := h.identify()
+	if refusal != nil {
+		h.refuseUnread(refusal)
+	}
+	return refusal != nil
+}
+
+// RefuseBody refuses a request whose body this hall cannot hold.
+func (g *Gateway) RefuseBody(w http.ResponseWriter, request *Request, cause error) {
+	g.newHandler(w, request).refuseUnread(refuseRetryable(defaultRetryAfter, "%v", cause))
+}
+
 // requestHandler holds the state of one request.
 type requestHandler struct {
 	gateway     *Gateway
@@ -193,6 +209,19 @@
 	firstByteDelay time.Duration // Time until the response header was written.
 }
 
+func (g *Gateway) newHandler(w http.ResponseWriter, request *Request) *requestHandler {
+	return &requestHandler{gateway: g, request: request, writer: w, catalog: g.options.Catalog()}
+}
+
+// refuseUnread writes a refusal of a request whose body was not read, and has its
+// connection closed.
+func (h *requestHandler) refuseUnread(refusal *Refusal) {
+	defer h.log()
+	h.refusal = refusal
+	h.writer.Header().Set("Connection", "close")
+	refusal.write(h.writer)
+}
+
 func (h *requestHandler) serve(ctx context.Context) *Refusal {
 	if refusal := h.admit(ctx); refusal != nil {
 		return refusal
@@ -213,8 +242,8 @@
 
 var errDeadline = errors.New("deadline reached")
 
-// admit finds the route, workspace and service, and applies the rate limit.
-func (h *requestHandler) admit(ctx context.Context) *Refusal {
+// identify finds the route, workspace and service.
+func (h *requestHandler) identify() *Refusal {
 	if h.catalog == nil {
 		return refuseRetryable(defaultRetryAfter, "no configuration loaded yet")
 	}
@@ -235,6 +264,14 @@
 	if end := h.gateway.drainEnd.Load(); end != nil && h.deadline.After(*end) {
 		return refuseRetryable(drainRetryAfter, "this hall stops %s before the deadline of the request", h.deadline.Sub(*end))
 	}
+	return nil
+}
+
+// admit identifies the request and applies the rate limit.
+func (h *requestHandler) admit(ctx context.Context) *Refusal {
+	if refusal := h.identify(); refusal != nil {
+		return refusal
+	}
 	h.rank, h.affinityKey = h.priority(), h.request.Program
 	if err := h.gateway.options.Balancer.CheckLimits(time.Now(), h.balancerQuery()); err != nil {
 		return h.noServerRefusal(err)
--- a/hall/turns/forward.go
+++ b/hall/turns/forward.go
@@ -2,14 +2,17 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/recipient"
 	"limpethall.dev/kernel/replication"
@@ -63,12 +66,18 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardedBytes))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(callTimeout)) // Fails only if the connection is closed.
+	body, err := c.bodies.Read(r.Body, r.ContentLength, maxForwardedBytes)
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+		c.logger.Info("cannot read a call to forward", zap.String("keeper", address), zap.Int64("length", r.ContentLength), zap.Error(err))
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(readErrorStatus(err))
 		return
 	}
-	outgoing, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+"/"+path, bytes.NewReader(body))
+	defer body.Release()
+	_ = control.SetReadDeadline(time.Time{})
+	outgoing, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+"/"+path, bytes.NewReader(body.Bytes()))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -89,3 +98,12 @@
 		c.logger.Info("forwarding a keeper's response failed", zap.String("keeper", address), zap.Error(err))
 	}
 }
+
+// readErrorStatus returns the status of a call whose body could not be read.
+func readErrorStatus(err error) int {
+	var full *buffer.FullError
+	if errors.As(err, &full) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	client := turns.New(rule, membership, otherHalls, network, logger)
+//	client := turns.New(rule, membership, otherHalls, network, budget, logger)
 //	mux.HandleFunc(turns.ForwardPathPrefix(), client.Forward)
 //	group.Go("keepers that failed", client.Probe)
 //	active, err := client.Begin(ctx, turns.Turn{Program: "3fa8", ID: "e5b2", …})
@@ -29,6 +29,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/replication"
@@ -192,6 +193,7 @@
 	rule       replication.Rule
 	keepers    Membership
 	otherHalls func() []host.Member
+	bodies     *buffer.Budget // Bounds the memory for forwarded calls.
 	logger     *zap.Logger
 	transport  *http.Transport
 	httpClient *http.Client
@@ -203,14 +205,15 @@
 	probing  map[string]bool     // Keepers with a probe in progress.
 }
 
-// New returns a client. otherHalls returns the other halls.
-func New(rule replication.Rule, keepers Membership, otherHalls func() []host.Member, dialer network.Network, logger *zap.Logger) *Client {
+// New returns a client. otherHalls returns the other halls, bodies bounds the memory for
+// their calls.
+func New(rule replication.Rule, keepers Membership, otherHalls func() []host.Member, dialer network.Network, bodies *buffer.Budget, logger *zap.Logger) *Client {
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerKeeper, DisableCompression: true,
 		WriteBufferSize: 32 << 10, ReadBufferSize: 16 << 10,
 	}
 	return &Client{
-		rule: rule, keepers: keepers, otherHalls: otherHalls, logger: logger, transport: transport, httpClient: &http.Client{Transport: transport},
+		rule: rule, keepers: keepers, otherHalls: otherHalls, bodies: bodies, logger: logger, transport: transport, httpClient: &http.Client{Transport: transport},
 		clients: make(map[keeperRoute]wire.Keeper), failedAt: make(map[string]time.Time), viaHall: make(map[string]endpoint), probing: make(map[string]bool),
 	}
 }
