keeper: bound the memory for the messages of calls

What callers saw: nothing bounded the memory that calls to a keeper used while their messages arrived, so that many large ones at once could end it.

Cause: the generated server reads each message to its end, without a limit of its size, its time or the sum of all.

What changed: messages are read by kernel/buffer, from a budget of an eighth of MemoryMb, or 32 MB without it, of at most 32 MB each and within 5 s. A call that finds no memory gets 503 at once, is logged and counted; halls use the other keepers then. A decoded message uses several times the memory of its bytes, hence the smaller part.

Test: TestMemoryOfKeeperCallsIsBounded starts 40 calls of 1 MB at a keeper with 32 MB and sends the half of each. Before: the keeper went on reading all 40. Now: at most 6 are read, the others get 503, and a turn beside them is served.

--- a/hall/turns/forward.go
+++ b/hall/turns/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -72,7 +71,7 @@
 	if err != nil {
 		c.logger.Info("cannot read a call to forward", zap.String("keeper", address), zap.Int64("length", r.ContentLength), zap.Error(err))
 		w.Header().Set("Connection", "close")
-		w.WriteHeader(readErrorStatus(err))
+		w.WriteHeader(buffer.Status(err))
 		return
 	}
 	defer body.Release()
@@ -98,12 +97,3 @@
 		c.logger.Info("forwarding a keeper's response failed", zap.String("keeper", address), zap.Error(err))
 	}
 }
-
-// readErrorStatus returns the status of a call whose body could not be read.
-func readErrorStatus(err error) int {
-	var full *buffer.FullError
-	if errors.As(err, &full) {
-		return http.StatusServiceUnavailable
-	}
-	return http.StatusBadRequest
-}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -25,6 +25,7 @@
 
 	"limpethall.dev/keeper/archive"
 	"limpethall.dev/keeper/ledger"
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/metrics"
 	"limpethall.dev/kernel/network"
@@ -68,6 +69,16 @@
 	drainTimeout = time.Second
 	// headerTimeout bounds reading the headers of a request.
 	headerTimeout = 5 * time.Second
+	// callTimeout bounds reading the message of a call.
+	callTimeout = 5 * time.Second
+	// maxCallBytes limits the message of a call. It leaves room for a page of records whose
+	// last one is as long as a hall forwards.
+	maxCallBytes = 32 << 20
+	// memoryParts is the part of the process's memory for messages: one of this many. A
+	// decoded message uses several times the memory of its bytes.
+	memoryParts = 8
+	// defaultCallMemory is the memory for messages if that of the process is not limited.
+	defaultCallMemory = 32 << 20
 )
 
 // Options configure a keeper.
@@ -83,8 +94,10 @@
 	Bootstrap bool
 	// Tolerance is the number of disks that may be lost at once.
 	Tolerance int
-	Network   *network.Waiting
-	Store     platform.Store
+	// MemoryBytes is the memory of the process, zero if it is not limited.
+	MemoryBytes int64
+	Network     *network.Waiting
+	Store       platform.Store
 	// Meters collects the keeper's metrics, which are served at /metrics.
 	Meters *metrics.Meters
 	Logger *zap.Logger
@@ -132,7 +145,8 @@
 	if err != nil {
 		return nil, err
 	}
-	instruments, err := newInstruments(options.Meters.Meter(), records, options.Network)
+	calls := buffer.NewBudget(callMemory(options.MemoryBytes))
+	instruments, err := newInstruments(options.Meters.Meter(), records, options.Network, calls)
 	if err != nil {
 		return nil, errors.Join(err, disk.Close())
 	}
@@ -154,12 +168,21 @@
 	}
 	k.registrar = host.NewRegistrar(options.Store, replication.LivenessPrefix+options.Name, []byte(k.address()), livenessLease, options.Logger)
 	mux := http.NewServeMux()
-	mux.Handle("/", wire.NewKeeperServer(k))
+	mux.Handle("/", calls.Handler(wire.NewKeeperServer(k), maxCallBytes, callTimeout, options.Logger))
 	mux.Handle("/metrics", options.Meters.Handler())
 	k.server = &http.Server{Handler: recipient.Handler(host.KindKeeper, options.Name, mux), ReadHeaderTimeout: headerTimeout}
 	return k, nil
 }
 
+// callMemory returns the memory for the messages of calls in a process with the given
+// memory, zero for no limit.
+func callMemory(memoryBytes int64) int64 {
+	if memoryBytes == 0 {
+		return defaultCallMemory
+	}
+	return memoryBytes / memoryParts
+}
+
 // formerFirst returns the addresses, first the one that the keeper had when it was last
 // listed. Others know it, also while they can't read the list.
 func formerFirst(options Options, list *wire.KeeperList) []string {
--- a/keeper/metrics.go
+++ b/keeper/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"limpethall.dev/keeper/ledger"
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/task"
 )
@@ -20,7 +21,7 @@
 
 // newInstruments returns the instruments and registers gauges for the contents of
 // the ledger and the listener.
-func newInstruments(meter metric.Meter, records *ledger.Ledger, net *network.Waiting) (*instruments, error) {
+func newInstruments(meter metric.Meter, records *ledger.Ledger, net *network.Waiting, calls *buffer.Budget) (*instruments, error) {
 	i := &instruments{}
 	var err error
 	if i.calls, err = meter.Int64Counter("limpethall.keeper.calls", metric.WithDescription("Calls of halls by what they asked and the verdict.")); err != nil {
@@ -54,12 +55,22 @@
 	if err != nil {
 		return nil, err
 	}
+	callBytes, err := meter.Int64ObservableGauge("limpethall.keeper.calls.bytes", metric.WithDescription("Memory that the messages of calls use."))
+	if err != nil {
+		return nil, err
+	}
+	callsRefused, err := meter.Int64ObservableGauge("limpethall.keeper.calls.refused", metric.WithDescription("Calls that were refused for lack of memory."))
+	if err != nil {
+		return nil, err
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
 		turnCount, programCount := records.Counts()
 		observer.ObserveInt64(turns, int64(turnCount))
 		observer.ObserveInt64(programs, int64(programCount))
 		observer.ObserveInt64(gaps, int64(len(records.Gaps())))
 		observer.ObserveInt64(unavailable, int64(net.Unavailable()))
+		observer.ObserveInt64(callBytes, calls.Used())
+		observer.ObserveInt64(callsRefused, calls.Refused())
 		observer.ObserveInt64(panics, task.Panics())
 		readyValue := int64(0)
 		if records.Ready() {
@@ -67,7 +78,7 @@
 		}
 		observer.ObserveInt64(ready, readyValue)
 		return nil
-	}, turns, programs, gaps, panics, ready, unavailable)
+	}, turns, programs, gaps, panics, ready, unavailable, callBytes, callsRefused)
 	return i, err
 }
 
