process: build a process again that can't start, without an exec

What callers saw: nothing yet; found in review. A process whose start failed for a moment, or whose settings file was completed later, ran its program anew by an exec. Where a preloaded library filters system calls, the filter survives the exec and its handler doesn't, so the process ends by itself. SIGTERM during a failed start could give exit code 1.

Cause: the exec in place of a release of what the process had opened; the error of a start that failed was returned after SIGTERM.

The rest of a settings file is used only if the process has not been ready; else one line says that it takes effect at the next start, as all hosts would stop at the same moment otherwise.

signals.Exec, its C code and TestSignalsKeepTheirMeaningDuringExec are removed, as nothing calls exec any more: the code that the test guarded is gone.

Why it works: handlers of signals, filters and the process id stay.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -66,6 +66,8 @@
 	// drainTimeout bounds the wait for calls in progress when the keeper stops. Callers wait
 	// less for their reply.
 	drainTimeout = time.Second
+	// closeLogInterval is the interval at which the reason is logged why Close waits.
+	closeLogInterval = 10 * time.Second
 	// headerTimeout bounds reading the headers of a request.
 	headerTimeout = 5 * time.Second
 )
@@ -217,6 +219,26 @@
 	return nil
 }
 
+// Close closes all that New and Start have opened, at once. It may follow a Start that failed,
+// or Stop. While the disk can't be written, Close waits: the record store stays locked.
+func (k *Keeper) Close() {
+	_ = k.server.Close()   // No caller is left to report the error to.
+	_ = k.listener.Close() // It is closed already if the server has used it.
+	if k.tasks != nil {
+		k.tasks.Stop()
+	}
+	k.transport.CloseIdleConnections()
+	var closedErr *archive.ClosedError
+	var logged time.Time
+	for err := k.archive.Close(); err != nil && !errors.As(err, &closedErr); err = k.archive.Close() {
+		if time.Since(logged) >= closeLogInterval {
+			logged = time.Now()
+			k.logger.Error("record store can't be closed, trying again", zap.Error(err))
+		}
+		time.Sleep(retryDelay)
+	}
+}
+
 // Ready reports whether this keeper holds all records that it is a replica for.
 func (k *Keeper) Ready() bool { return k.ledger.Ready() }
 
--- a/kernel/settingsfile/settingsfile.go
+++ b/kernel/settingsfile/settingsfile.go
@@ -6,7 +6,7 @@
 //
 //	content, err := settingsfile.Await(ctx, path, parse, logger) // err only if ctx ends.
 //	start(content.Value())
-//	if settingsfile.AwaitRest(ctx, path, content, parse, logger) { restart() }
+//	if settingsfile.AwaitRest(ctx, path, content, parse, ready, logger) { restart() }
 package settingsfile
 
 import (
@@ -34,6 +34,8 @@
 	readTimeout = time.Second
 	// restPeriod is how long the rest of a file is waited for.
 	restPeriod = time.Minute
+	// restInterval is the interval between reads meanwhile.
+	restInterval = 200 * time.Millisecond
 	// maxSize limits the size of the file.
 	maxSize = 256 << 10
 )
@@ -96,21 +98,28 @@
 }
 
 // AwaitRest waits for the rest of a file that Await returned before its end was written. It
-// reports whether the file now goes on after what was read, with other settings. It gives up
-// after restPeriod, as the file is only written at the start.
-func AwaitRest[T any](ctx context.Context, path string, content *Content[T], parse func(text []byte) (T, error), logger *zap.Logger) bool {
+// reports whether the file now goes on after what was read, with other settings, and the
+// process has not been ready before. It gives up after restPeriod, as the file is only written
+// at the start.
+func AwaitRest[T any](ctx context.Context, path string, content *Content[T], parse func(text []byte) (T, error), ready func() bool, logger *zap.Logger) bool {
+	logger = logger.With(zap.String("path", path))
 	reader := &reader{path: path}
-	ended := time.Now().Add(restPeriod)
-	for interval := retryInterval; time.Now().Before(ended); interval *= 2 {
-		task.Sleep(ctx, interval)
+	wasReady := false
+	for ended := time.Now().Add(restPeriod); time.Now().Before(ended); task.Sleep(ctx, restInterval) {
+		wasReady = wasReady || ready()
 		current, err := read(ctx, reader, parse)
 		if ctx.Err() != nil {
 			return false
 		}
-		if err == nil && len(current.text) > len(content.text) && bytes.HasPrefix(current.text, content.text) && !reflect.DeepEqual(current.value, content.value) {
-			logger.Warn("settings file was read before its end was written", zap.String("path", path))
-			return true
+		if err != nil || len(current.text) <= len(content.text) || !bytes.HasPrefix(current.text, content.text) || reflect.DeepEqual(current.value, content.value) {
+			continue
+		}
+		if wasReady {
+			logger.Warn("settings file goes on after what was read, which takes effect at the next start")
+			return false
 		}
+		logger.Warn("settings file was read before its end was written")
+		return true
 	}
 	return false
 }
--- a/kernel/signals/early_cgo.go
+++ b/kernel/signals/early_cgo.go
@@ -3,7 +3,6 @@
 package signals
 
 /*
-#include <pthread.h>
 #include <signal.h>
 #include <stddef.h>
 #include <string.h>
@@ -21,61 +20,35 @@
 	SIGHUP,
 };
 
-// setAction sets what a signal does.
-static void setAction(int number, void (*handler)(int)) {
+static void replaceDefault(int number, void (*handler)(int)) {
 	struct sigaction action;
 
+	if (sigaction(number, NULL, &action) != 0 || action.sa_handler != SIG_DFL)
+		return;
 	memset(&action, 0, sizeof action);
 	action.sa_handler = handler;
 	action.sa_flags = SA_ONSTACK | SA_RESTART;
 	sigaction(number, &action, NULL);
 }
 
-static void replaceDefault(int number, void (*handler)(int)) {
-	struct sigaction action;
-
-	if (sigaction(number, NULL, &action) != 0 || action.sa_handler != SIG_DFL)
-		return;
-	setAction(number, handler);
-}
-
-static void ignoreSignals(void (*set)(int, void (*)(int))) {
+static void ignoreSignals(void) {
 	size_t index;
 
 #ifdef SIGRTMIN
 	int number;
 	for (number = SIGRTMIN; number <= SIGRTMAX; number++)
-		set(number, SIG_IGN);
+		replaceDefault(number, SIG_IGN);
 #endif
 	for (index = 0; index < sizeof ignoredSignals / sizeof ignoredSignals[0]; index++)
-		set(ignoredSignals[index], SIG_IGN);
+		replaceDefault(ignoredSignals[index], SIG_IGN);
 }
 
+#ifdef __GLIBC__
 static void endProcess(int number) {
 	(void)number;
 	_exit(0);
 }
 
-// maskTerminations blocks or unblocks SIGTERM and SIGINT in this thread.
-static void maskTerminations(int how) {
-	sigset_t terminations;
-
-	sigemptyset(&terminations);
-	sigaddset(&terminations, SIGTERM);
-	sigaddset(&terminations, SIGINT);
-	pthread_sigmask(how, &terminations, NULL);
-}
-
-// prepareExec makes the signals keep their meaning during an exec. It resets handlers, but
-// neither ignored signals nor the mask of the thread.
-static void prepareExec(void) {
-	ignoreSignals(setAction);
-	setAction(SIGTERM, endProcess);
-	setAction(SIGINT, endProcess);
-	maskTerminations(SIG_BLOCK);
-}
-
-#ifdef __GLIBC__
 static void setSignals(int count, char **arguments, char **environment) {
 	(void)environment;
 	if (count > 1 && strcmp(arguments[1], "run") == 0) {
@@ -83,18 +56,15 @@
 		// the program does not handle the signal.
 		replaceDefault(SIGTERM, endProcess);
 		replaceDefault(SIGINT, endProcess);
-		maskTerminations(SIG_UNBLOCK); // They are blocked after prepareExec.
 	}
-	ignoreSignals(replaceDefault);
+	ignoreSignals();
 }
 
 // The functions of this section run before the constructors of the shared libraries.
 __attribute__((section(".preinit_array"), used))
 static void (*const setSignalsEntry)(int, char **, char **) = setSignals;
 #else
-__attribute__((constructor)) static void setSignals(void) { ignoreSignals(replaceDefault); }
+__attribute__((constructor)) static void setSignals(void) { ignoreSignals(); }
 #endif
 */
 import "C"
-
-func prepareExec() { C.prepareExec() }
--- a/kernel/signals/signals.go
+++ b/kernel/signals/signals.go
@@ -23,17 +23,11 @@
 package signals
 
 import (
-	"context"
 	"os"
 	"os/signal"
-	"runtime"
 	"syscall"
-	"time"
 )
 
-// deliveryTime is how long the Go runtime takes at most to pass a signal on.
-const deliveryTime = 20 * time.Millisecond
-
 func init() { signal.Ignore(syscall.SIGHUP) }
 
 // Hangups returns a channel that receives SIGHUP until the process ends. It can't be
@@ -43,19 +37,3 @@
 	signal.Notify(received, syscall.SIGHUP)
 	return received
 }
-
-// Exec runs the program with the command run in place of this one, like [syscall.Exec], but no
-// signal ends the process or gets lost meanwhile: SIGTERM and SIGINT end it with exit code 0,
-// or ctx, which a signal that was received before must end. Exec returns if ctx has ended, or
-// if the call fails.
-func Exec(ctx context.Context, executable string, arguments, environment []string) error {
-	runtime.LockOSThread() // The mask of signals is one of the thread.
-	defer runtime.UnlockOSThread()
-	prepareExec()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(deliveryTime):
-		return syscall.Exec(executable, arguments, environment)
-	}
-}
