archive: wait for every error of the system

What callers saw: after a keeper's directory was away for a second, or after any error of writing that wasn't on a list (EFBIG, ENOENT), a keeper never wrote again. One ENOLCK, ENOSYS or EHOSTDOWN at opening set intact records aside as damaged.

Cause: errors of the machine were a list. An error that wasn't on it reached the database, which can't go on after a failed write, or counted as damage at once.

Changed: writes, creations, renames and syncs wait while the system reports any error number but EEXIST. A log that was to be reused and is missing is created.

--- a/keeper/archive/open.go
+++ b/keeper/archive/open.go
@@ -30,10 +30,10 @@
 	probeName = "probe.tmp"
 )
 
-// machineErrors are the errors of a disk whose files may be undamaged, and which may pass or
-// be removed by an operator.
+// machineErrors are errors of opening that never count as damage, as an operator removes
+// their cause.
 var machineErrors = []error{
-	syscall.EACCES, syscall.EPERM, syscall.ENOTDIR, syscall.EROFS, syscall.EIO, syscall.EMFILE, syscall.ENFILE,
+	syscall.EACCES, syscall.EPERM, syscall.ENOTDIR, syscall.EROFS, syscall.EMFILE, syscall.ENFILE,
 	syscall.ENOSPC, syscall.EDQUOT, syscall.ENOMEM, syscall.ENODEV, syscall.ENXIO, syscall.ESTALE, syscall.EBUSY,
 	syscall.ETIMEDOUT, syscall.EINTR, syscall.EAGAIN,
 }
@@ -193,17 +193,19 @@
 }
 
 // isDamage reports whether an error of opening means that files are damaged. Errors of the
-// machine don't, except for read errors that last while the disk can be written.
+// machine don't, except for those that last while the disk can be written.
 func (o *opener) isDamage(fs vfs.FS, err error) bool {
 	var format *FormatError
-	isReadError := errors.Is(err, syscall.EIO)
+	var stopped *WriteError
+	mayPass := isMachineError(err) || errors.As(err, &stopped)
+	isMachine := slices.ContainsFunc(machineErrors, func(machineError error) bool { return errors.Is(err, machineError) })
 	switch {
-	case errors.As(err, &format), isMachineError(err) && !isReadError:
+	case errors.As(err, &format), isMachine:
 		o.damagedSince = time.Time{}
 		return false
 	case time.Since(o.replaced) < damagePatience:
 		return false // The new archive has failed too.
-	case !isReadError:
+	case !mayPass:
 		return true
 	case o.damagedSince.IsZero():
 		o.damagedSince = time.Now()
@@ -213,9 +215,10 @@
 }
 
 // isMachineError reports whether an error is one of the disk or the system, rather than of
-// the content of files.
+// the content of files. A file that is missing isn't one.
 func isMachineError(err error) bool {
-	return slices.ContainsFunc(machineErrors, func(machineError error) bool { return errors.Is(err, machineError) })
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.ENOENT
 }
 
 // isWritable returns an error if no file can be written to the directory.
--- a/keeper/archive/space.go
+++ b/keeper/archive/space.go
@@ -1,9 +1,11 @@
 package archive
 
 import (
+	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -91,7 +93,14 @@
 
 // waitForDisk repeats an operation until it doesn't fail for a reason of the machine.
 func (fs *waitingFS) waitForDisk(operation func() error) error {
-	return fs.waitWhile(isMachineError, operation, nil)
+	return fs.waitWhile(isErrorOfWriting, operation, nil)
+}
+
+// isErrorOfWriting reports whether an error of writing may pass. A missing directory may come
+// back. No error is returned to the database that it can't survive.
+func isErrorOfWriting(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EEXIST
 }
 
 func (fs *waitingFS) openForWriting(open func() (vfs.File, error)) (vfs.File, error) {
@@ -130,7 +139,13 @@
 
 // ReuseForWrite implements vfs.FS.
 func (fs *waitingFS) ReuseForWrite(oldName, newName string, category vfs.DiskWriteCategory) (vfs.File, error) {
-	return fs.openRewritable(newName, func() (vfs.File, error) { return fs.FS.ReuseForWrite(oldName, newName, category) })
+	return fs.openRewritable(newName, func() (vfs.File, error) {
+		file, err := fs.FS.ReuseForWrite(oldName, newName, category)
+		if errors.Is(err, syscall.ENOENT) {
+			return fs.FS.Create(newName, category) // The old file may be missing for good.
+		}
+		return file, err
+	})
 }
 
 // OpenDir implements vfs.FS. Directories are opened to sync them. An error of opening one is
@@ -242,7 +257,7 @@
 func (f *rewritableFile) sync(sync func() error) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	err := f.fs.waitWhile(isMachineError, sync, func() error {
+	err := f.fs.waitWhile(isErrorOfWriting, sync, func() error {
 		_, err := f.File.WriteAt(f.unsynced, f.synced)
 		return err
 	})
