archive: open again after the database gave up

What callers saw: a keeper whose database met an error that it can't survive was listed and alive, but refused all writes for ever. An opening that met one never returned, without a log line.

Cause: the database's fatal errors blocked their goroutine, and nothing opened the archive again.

Once the archive is open, the process logs the error and ends with exit code 1, and its restart opens the archive again; the error numbers of the system don't get there. A panic while the records are read counts as damage.

--- a/keeper/archive/archive.go
+++ b/keeper/archive/archive.go
@@ -142,9 +142,6 @@
 }
 
 func (a *Archive) failure() *WriteError {
-	if stopped := a.fs.stopped.Load(); stopped != nil {
-		return stopped
-	}
 	return a.fs.failed.Load()
 }
 
@@ -275,11 +272,14 @@
 func (pebbleLogger) Infof(string, ...any) {}
 
 // Fatalf implements pebble.Logger. The database can't go on, but its callers expect that
-// Fatalf doesn't return. Writes are refused until the process is restarted.
+// Fatalf doesn't return. While the archive is being opened, opening is tried again. Later the
+// process ends, so that its restart opens the archive again.
 func (l pebbleLogger) Fatalf(format string, values ...any) {
 	err := fmt.Errorf(format, values...)
-	l.Errorw("the database can't go on; writes are refused until a restart", "error", err)
 	l.fs.failures.Add(1)
-	l.fs.stopped.Store(&WriteError{since: time.Now(), err: err})
-	select {}
+	if !l.fs.opened.Load() {
+		l.fs.stop(&WriteError{since: time.Now(), err: err})
+		select {}
+	}
+	l.Fatalw("the database can't go on; the process ends to open it again", "error", err)
 }
--- a/keeper/archive/open.go
+++ b/keeper/archive/open.go
@@ -118,7 +118,11 @@
 			return nil, ctx.Err()
 		}
 		o.noteUnusable(err)
-		if !errors.Is(err, syscall.EAGAIN) {
+		var stopped *WriteError
+		switch {
+		case errors.As(err, &stopped):
+			interval = reminderInterval // As each attempt leaves a database in memory.
+		case !errors.Is(err, syscall.EAGAIN):
 			interval = retryInterval
 		}
 		select {
@@ -239,13 +243,34 @@
 	if err := current.check(fs); err != nil {
 		return nil, err
 	}
-	archive := &Archive{fs: &waitingFS{FS: fs, logger: o.logger}, damaged: current.number > 0}
+	archive := &Archive{fs: newWaitingFS(fs, o.logger), damaged: current.number > 0}
 	o.current.Store(archive)
-	db, err := openDatabase(current.dir, o.logger, archive)
+	opened := make(chan error, 1)
+	go func() { opened <- o.fill(ctx, archive, generations) }()
+	select {
+	case err := <-opened:
+		if err != nil {
+			return nil, err
+		}
+	case <-archive.fs.stopped:
+		return nil, archive.fs.reason // The database is abandoned.
+	}
+	archive.fs.opened.Store(true)
+	generations.prune(o.logger)
+	return archive, nil
+}
+
+// fill opens the database of an archive and reads its records. A panic counts as damage.
+func (o *opener) fill(ctx context.Context, archive *Archive, generations *generations) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = &DamageError{reason: fmt.Sprint(reason)}
+		}
+	}()
+	archive.db, err = openDatabase(generations.current().dir, o.logger, archive)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	archive.db = db
 	err = generations.salvageInto(ctx, archive, o)
 	if err == nil && o.options.Load != nil {
 		err = o.options.Load(archive)
@@ -254,20 +279,13 @@
 		err = errors.Join(err, damage)
 	}
 	if err != nil {
-		return nil, errors.Join(err, archive.db.Close())
+		return errors.Join(err, archive.db.Close())
 	}
-	generations.prune(o.logger)
-	return archive, nil
+	return nil
 }
 
-// openDatabase opens the database in a directory. It returns a *DamageError if the database
-// panics, which it does for some damaged files.
-func openDatabase(dir string, logger *zap.Logger, archive *Archive) (db *pebble.DB, err error) {
-	defer func() {
-		if reason := recover(); reason != nil {
-			err = &DamageError{reason: fmt.Sprint(reason)}
-		}
-	}()
+// openDatabase opens the database in a directory. It panics for some damaged files.
+func openDatabase(dir string, logger *zap.Logger, archive *Archive) (*pebble.DB, error) {
 	cache := pebble.NewCache(blockCacheBytes)
 	defer cache.Unref()
 	options := databaseOptions(archive.fs, logger)
--- a/keeper/archive/space.go
+++ b/keeper/archive/space.go
@@ -48,12 +48,43 @@
 	logger   *zap.Logger
 	failures atomic.Int64
 	failed   atomic.Pointer[WriteError] // Nil while the disk can be written.
-	stopped  atomic.Pointer[WriteError] // Not nil after an error that the database can't survive.
+	opened   atomic.Bool                // Set once the archive is open.
+	stopOnce sync.Once
+	stopped  chan struct{} // Closed after an error that the database can't survive.
+	reason   error         // Set before stopped is closed.
+}
+
+func newWaitingFS(fs vfs.FS, logger *zap.Logger) *waitingFS {
+	return &waitingFS{FS: fs, logger: logger, stopped: make(chan struct{})}
+}
+
+func (fs *waitingFS) stop(reason error) {
+	fs.stopOnce.Do(func() {
+		fs.reason = reason
+		close(fs.stopped)
+	})
+}
+
+// blockIfStopped keeps a database that was abandoned from changing files, as another one
+// uses them.
+func (fs *waitingFS) blockIfStopped() {
+	select {
+	case <-fs.stopped:
+		select {}
+	default:
+	}
+}
+
+// Remove implements vfs.FS.
+func (fs *waitingFS) Remove(name string) error {
+	fs.blockIfStopped()
+	return fs.FS.Remove(name)
 }
 
 // waitWhile repeats an operation while isTemporary holds for its error. Before each
 // repetition it calls repair until that succeeds, if it isn't nil.
 func (fs *waitingFS) waitWhile(isTemporary func(error) bool, operation, repair func() error) error {
+	fs.blockIfStopped()
 	err := operation()
 	if err == nil || !isTemporary(err) {
 		return err
@@ -65,6 +96,7 @@
 	reminded := failure.since
 	for err != nil && isTemporary(err) {
 		time.Sleep(writeRetryInterval)
+		fs.blockIfStopped()
 		fs.failed.CompareAndSwap(nil, failure)
 		if time.Since(reminded) >= reminderInterval {
 			reminded = time.Now()
