settingsfile: bound what a damaged settings file costs

What callers saw: nothing yet; found in review. SIGHUP read the settings file without a bound of size or time. Decoding ran on the goroutine that handles the end of the process, so SIGTERM waited for it.

Cause: SIGHUP used os.ReadFile; the decoder takes quadratic time for nested values.

Change: settingsfile.Reader reads and parses in a goroutine of its own, with one time-out for both; a panic there is logged and becomes an error. The limit of the size is 64 KiB, before 256.

Why it works: no caller waits longer than the time-out or its context.

TestReaderDoesNotBlock is new, as the type is. The packages' tests pass.

--- a/kernel/settingsfile/settingsfile.go
+++ b/kernel/settingsfile/settingsfile.go
@@ -30,14 +30,14 @@
 	settleInterval = 20 * time.Millisecond
 	// logInterval is the interval at which a file that cannot be used is logged.
 	logInterval = 10 * time.Second
-	// readTimeout is how long a read may take before it counts as failed.
+	// readTimeout is how long reading and parsing may take before it counts as failed.
 	readTimeout = time.Second
 	// restPeriod is how long the rest of a file is waited for.
 	restPeriod = time.Minute
 	// restInterval is the interval between reads meanwhile.
 	restInterval = 200 * time.Millisecond
 	// maxSize limits the size of the file.
-	maxSize = 256 << 10
+	maxSize = 64 << 10
 )
 
 // TooLargeError reports a file that is too large for a settings file.
@@ -53,7 +53,7 @@
 
 // Error implements error.
 func (e *TimeoutError) Error() string {
-	return fmt.Sprintf("read %s: not finished after %s", e.path, readTimeout)
+	return fmt.Sprintf("read and parse %s: not finished after %s", e.path, readTimeout)
 }
 
 // Content is what was read from a settings file.
@@ -70,12 +70,12 @@
 // an error only if ctx ends.
 func Await[T any](ctx context.Context, path string, parse func(text []byte) (T, error), logger *zap.Logger) (*Content[T], error) {
 	logger = logger.With(zap.String("path", path))
-	reader := &reader{path: path}
+	reader := NewReader(path, parse, logger)
 	started := time.Now()
 	var logged time.Time
 	var previous *Content[T]
 	for {
-		current, err := read(ctx, reader, parse)
+		current, err := reader.read(ctx)
 		interval := settleInterval
 		switch {
 		case ctx.Err() != nil:
@@ -103,11 +103,11 @@
 // at the start.
 func AwaitRest[T any](ctx context.Context, path string, content *Content[T], parse func(text []byte) (T, error), ready func() bool, logger *zap.Logger) bool {
 	logger = logger.With(zap.String("path", path))
-	reader := &reader{path: path}
+	reader := NewReader(path, parse, logger)
 	wasReady := false
 	for ended := time.Now().Add(restPeriod); time.Now().Before(ended); task.Sleep(ctx, restInterval) {
 		wasReady = wasReady || ready()
-		current, err := read(ctx, reader, parse)
+		current, err := reader.read(ctx)
 		if ctx.Err() != nil {
 			return false
 		}
@@ -124,38 +124,53 @@
 	return false
 }
 
-// read returns nil and an error if the file cannot be used.
-func read[T any](ctx context.Context, reader *reader, parse func(text []byte) (T, error)) (*Content[T], error) {
-	text, err := reader.read(ctx)
-	if err != nil {
-		return nil, err
-	}
-	value, err := parse(text)
-	if err != nil {
-		return nil, err
-	}
-	return &Content[T]{text: text, value: value}, nil
+// Reader reads and parses a file without blocking its caller for long: a read blocks in the
+// operating system while the file system does not answer. It has one caller at a time.
+type Reader[T any] struct {
+	path    string
+	parse   func(text []byte) (T, error)
+	logger  *zap.Logger
+	pending chan result[T] // Nil if no read is in progress.
 }
 
-// reader reads a file without blocking its caller for long: a read blocks in the operating
-// system while the file system does not answer.
-type reader struct {
-	path    string
-	pending chan readResult // Nil if no read is in progress.
+type result[T any] struct {
+	content *Content[T]
+	err     error
+}
+
+// NewReader returns a reader of the file at path.
+func NewReader[T any](path string, parse func(text []byte) (T, error), logger *zap.Logger) *Reader[T] {
+	return &Reader[T]{path: path, parse: parse, logger: logger}
 }
 
-type readResult struct {
-	text []byte
-	err  error
+// Read returns what the file contains now, or an error if it cannot be used.
+func (r *Reader[T]) Read(ctx context.Context) (value T, err error) {
+	content, err := r.read(ctx)
+	if err == nil {
+		value = content.value
+	}
+	return value, err
 }
 
-func (r *reader) read(ctx context.Context) ([]byte, error) {
+// read returns nil and an error if the file cannot be used.
+func (r *Reader[T]) read(ctx context.Context) (*Content[T], error) {
 	if r.pending == nil {
-		pending := make(chan readResult, 1)
+		pending := make(chan result[T], 1)
 		r.pending = pending
 		go func() {
-			text, err := readFile(r.path)
-			pending <- readResult{text: text, err: err}
+			var content *Content[T]
+			err := task.Guard(r.logger, "read the settings file", func() error {
+				text, err := readFile(r.path)
+				if err != nil {
+					return err
+				}
+				value, err := r.parse(text)
+				if err == nil {
+					content = &Content[T]{text: text, value: value}
+				}
+				return err
+			})
+			pending <- result[T]{content: content, err: err}
 		}()
 	}
 	timer := time.NewTimer(readTimeout)
@@ -163,7 +178,7 @@
 	select {
 	case result := <-r.pending:
 		r.pending = nil
-		return result.text, result.err
+		return result.content, result.err
 	case <-timer.C:
 		return nil, &TimeoutError{path: r.path}
 	case <-ctx.Done():
--- a/kernel/settingsfile/settingsfile_test.go
+++ b/kernel/settingsfile/settingsfile_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -61,3 +62,33 @@
 		}
 	}
 }
+
+// TestReaderDoesNotBlock guards against a process that can't be stopped while it parses its
+// settings file, or that ends because parsing panics.
+func TestReaderDoesNotBlock(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	write(t, path, "")
+	proceed := make(chan struct{})
+	slow := settingsfile.NewReader(path, func(text []byte) (string, error) {
+		<-proceed
+		return parse(text)
+	}, zap.NewNop())
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := slow.Read(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("read while parsing takes long: got %v, want %v", err, context.DeadlineExceeded)
+	}
+	close(proceed)
+	if _, err := slow.Read(t.Context()); err != nil {
+		t.Errorf("read after that: got %v, want no error", err)
+	}
+	faulty := settingsfile.NewReader(path, func([]byte) (string, error) { panic("fault of the decoder") }, zap.NewNop())
+	if _, err := faulty.Read(t.Context()); err == nil {
+		t.Error("parse that panics: got no error, want one")
+	}
+	write(t, path, strings.Repeat("#", 65_537))
+	var tooLarge *settingsfile.TooLargeError
+	if _, err := slow.Read(t.Context()); !errors.As(err, &tooLarge) {
+		t.Errorf("file of more than 64 KiB: got %v, want a TooLargeError", err)
+	}
+}
