archive: replace a new archive that never got the records

What operators saw: while a damaged disk stayed unusable, a keeper added a directory generation-N each 5 s, and each attempt read all of them.

Cause: damage of a generation added another one, also if the current one had never got the records of the older ones. Only success removed any.

Changed: a new generation holds a file "incomplete" until it has the records of the older ones and these can be read; it is replaced if it fails before. So at most one more generation than is kept exists. One without that file is never removed for this reason.

Test: records that can't be read for 30 s left generations 4 to 6 before (six were added), and leave one now.

--- a/keeper/archive/generation.go
+++ b/keeper/archive/generation.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,6 +22,8 @@
 	lockName = "LOCK"
 	// generationPrefix begins the names of the directories of all generations but the first.
 	generationPrefix = "generation-"
+	// incompleteName is the name of a file in a generation that lacks records of older ones.
+	incompleteName = "incomplete"
 	// maxGenerations is the number of generations that are kept: the first and the newest ones.
 	maxGenerations = 4
 	// The database marks its current format and manifest by files with these prefixes.
@@ -67,13 +70,37 @@
 
 func (g *generations) current() generation { return g.list[len(g.list)-1] }
 
-// add adds an empty generation.
+// add adds an empty generation. It replaces the current one if that never got the records of
+// the older ones, as it holds no others then.
 func (g *generations) add() error {
-	name := fmt.Sprint(generationPrefix, g.current().number+1)
-	if err := g.fs.MkdirAll(g.fs.PathJoin(g.dir, name), 0o755); err != nil {
+	number := g.current().number + 1
+	switch _, err := g.fs.Stat(g.fs.PathJoin(g.current().dir, incompleteName)); {
+	case err == nil:
+		number--
+		if err := g.fs.RemoveAll(g.current().dir); err != nil {
+			return err
+		}
+	case !errors.Is(err, os.ErrNotExist):
+		return err
+	}
+	dir := g.fs.PathJoin(g.dir, fmt.Sprint(generationPrefix, number))
+	if err := g.fs.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	return syncDir(g.fs, g.dir)
+	file, err := g.fs.Create(g.fs.PathJoin(dir, incompleteName), vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return err
+	}
+	return errors.Join(file.Close(), syncDir(g.fs, dir), syncDir(g.fs, g.dir))
+}
+
+// noteComplete records that the current generation has the records of all older ones.
+func (g *generations) noteComplete() error {
+	err := g.fs.Remove(g.fs.PathJoin(g.current().dir, incompleteName))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	return errors.Join(err, syncDir(g.fs, g.current().dir))
 }
 
 // salvageInto stores the records of all older generations in the archive of the current
--- a/keeper/archive/open.go
+++ b/keeper/archive/open.go
@@ -255,6 +255,9 @@
 	case <-archive.fs.stopped:
 		return nil, archive.fs.reason // The database is abandoned.
 	}
+	if err := generations.noteComplete(); err != nil {
+		return nil, errors.Join(err, archive.db.Close())
+	}
 	archive.fs.opened.Store(true)
 	generations.prune(o.logger)
 	return archive, nil
@@ -265,6 +268,7 @@
 	defer func() {
 		if reason := recover(); reason != nil {
 			err = &DamageError{reason: fmt.Sprint(reason)}
+			archive.fs.stop(err) // The database may be open still.
 		}
 	}()
 	archive.db, err = openDatabase(generations.current().dir, o.logger, archive)
