keeper: stop while the disk can't be written

What operators saw (by reading): a keeper whose disk was full or failing didn't end on SIGTERM within its grace period.

Cause: the marks "complete" and "copied" were stored without a check, so they waited for the disk, the first one already in Start; Stop waited for the task that stored them without a bound.

Changed: SetReady and SetCopied return the error of the disk. The mark of the first start is stored by the task that copies records, which tries again.

The bound of Stop has no test of its own.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -107,6 +107,7 @@
 	client      *http.Client
 	leaving     chan struct{} // Closed by Retire.
 	joined      bool          // Whether this process has been on the list; used by replicate only.
+	isFirst     bool          // Whether the disk is to be marked as complete; used by replicate after Start.
 	// copied is the list up to which records were copied, nil if none were.
 	copied atomic.Pointer[replication.MemberList]
 	copy   copyProgress // Used by replicate only.
@@ -181,11 +182,7 @@
 	turns, programs := k.ledger.Counts()
 	k.logger.Info("starting keeper", zap.String("name", k.options.Name), zap.String("address", k.address()),
 		zap.Int("turns", turns), zap.Int("programs", programs), zap.Bool("firstStart", k.options.Bootstrap), zap.Bool("ready", k.ledger.Ready()))
-	if k.options.Bootstrap && k.ledger.Empty() && !k.archive.Damaged() {
-		if err := k.ledger.SetReady(true); err != nil {
-			return oops.In("keeper").Wrapf(err, "mark the disk as complete")
-		}
-	}
+	k.isFirst = k.options.Bootstrap && k.ledger.Empty() && !k.archive.Damaged()
 	go k.serve()
 	k.tasks = task.New(ctx, k.logger)
 	k.tasks.Go("members", k.membership.Follow)
@@ -210,13 +207,30 @@
 	if err != nil {
 		err = errors.Join(err, k.server.Close())
 	}
-	k.tasks.Stop()
+	err = errors.Join(err, k.stopTasks(ctx))
 	k.transport.CloseIdleConnections()
 	err = errors.Join(err, k.archive.Close())
 	k.logger.Info("keeper stopped", zap.String("name", k.options.Name), zap.Duration("took", time.Since(started)), zap.Error(err))
 	return nil
 }
 
+// stopTasks stops the tasks, and waits for them unless the disk keeps one waiting.
+func (k *Keeper) stopTasks(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		k.tasks.Stop()
+	}()
+	select {
+	case <-stopped:
+		return nil
+	case <-ctx.Done():
+		return oops.In("keeper").Wrapf(ctx.Err(), "wait for the tasks")
+	}
+}
+
 // Ready reports whether this keeper holds all records that it is a replica for.
 func (k *Keeper) Ready() bool { return k.ledger.Ready() }
 
--- a/keeper/ledger/durability_test.go
+++ b/keeper/ledger/durability_test.go
@@ -173,3 +173,42 @@
 		}
 	}
 }
+
+// TestMarksWhileDiskIsFull guards against a keeper that can't stop, as the marks that it
+// stores for itself wait for a full disk.
+func TestMarksWhileDiskIsFull(t *testing.T) {
+	fs := &fullFS{FS: vfs.NewMem()}
+	disk, err := archive.OpenFS(t.Context(), fs, "data", zap.NewNop())
+	if err != nil {
+		t.Fatalf("open the archive: %v", err)
+	}
+	defer func() { _ = disk.Close() }()
+	l, err := ledger.Open(disk, time.Now(), zap.NewNop())
+	if err != nil {
+		t.Fatalf("open the ledger: %v", err)
+	}
+	fs.full.Store(true)
+	waiting := make(chan error, 1)
+	go func() { waiting <- disk.Store(archive.Record{Key: "waiting", Expires: time.Now().Add(time.Hour)}) }()
+	for disk.Writable() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	marked := make(chan error, 2)
+	go func() { marked <- l.SetReady(true) }()
+	go func() { marked <- l.SetCopied(&wire.KeeperList{}) }()
+	var full *archive.FullError
+	for range cap(marked) {
+		select {
+		case err := <-marked:
+			if !errors.As(err, &full) {
+				t.Errorf("mark while the disk is full: got %v, want a FullError", err)
+			}
+		case <-time.After(2 * time.Second):
+			t.Error("mark while the disk is full: still waiting, want a FullError")
+		}
+	}
+	fs.full.Store(false)
+	if err := <-waiting; err != nil {
+		t.Errorf("write that waited for space: got %v, want none", err)
+	}
+}
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -114,6 +114,9 @@
 	if ready == l.ready.Load() {
 		return nil
 	}
+	if err := l.archive.Writable(); err != nil {
+		return err
+	}
 	value := []byte{0}
 	if ready {
 		value[0] = 1
@@ -130,6 +133,9 @@
 
 // SetCopied stores the member list up to which records were copied.
 func (l *Ledger) SetCopied(members *wire.KeeperList) error {
+	if err := l.archive.Writable(); err != nil {
+		return err
+	}
 	value, err := proto.Marshal(members)
 	if err != nil {
 		return err
--- a/keeper/replication.go
+++ b/keeper/replication.go
@@ -20,7 +20,7 @@
 // except for what changes of the list have assigned to it in the meantime.
 func (k *Keeper) replicate(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !k.ensureListed(ctx) {
+		if !k.markFirst() || !k.ensureListed(ctx) {
 			task.Sleep(ctx, retryDelay)
 			continue
 		}
@@ -40,8 +40,28 @@
 	return nil
 }
 
+// markFirst marks the empty disk of the first start as complete. It reports whether that is
+// done or not needed.
+func (k *Keeper) markFirst() bool {
+	switch {
+	case !k.isFirst:
+		return true
+	case k.archive.Writable() != nil:
+		return false // The archive logs it.
+	}
+	if err := k.ledger.SetReady(true); err != nil {
+		k.logger.Error("failed to mark the disk as complete", zap.Error(err))
+		return false
+	}
+	k.isFirst = false
+	return true
+}
+
 // markCopied records that this keeper has copied what the list assigns to it.
 func (k *Keeper) markCopied(list *replication.MemberList) bool {
+	if k.archive.Writable() != nil {
+		return false // The archive logs it.
+	}
 	if err := k.ledger.SetCopied(list.ToWire(true)); err != nil {
 		k.logger.Error("failed to store the copied list of keepers", zap.Error(err))
 		return false
