keeper: use the records of the archive that was opened

Suspected by reading: an opening that the archive has abandoned may still load its records, after a later opening has, and the keeper would then use the index of the abandoned archive. The index is now kept by archive. Not reproduced, no test of its own; the deployment test of damaged disks passes.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -122,17 +123,20 @@
 // New opens the record store and an address, once no other process uses them. The keeper
 // serves no requests before Start.
 func New(ctx context.Context, options Options) (*Keeper, error) {
-	var records *ledger.Ledger
+	var ledgers sync.Map // By archive, as an opening that was abandoned may still load one.
 	disk, err := archive.OpenWith(ctx, archive.Options{
 		FS: vfs.Default, Dir: options.DataDir, Choose: ledger.Choose, Meter: options.Meters.Meter(), Logger: options.Logger,
-		Load: func(disk *archive.Archive) (err error) {
-			records, err = ledger.Open(disk, time.Now(), options.Logger)
+		Load: func(disk *archive.Archive) error {
+			records, err := ledger.Open(disk, time.Now(), options.Logger)
+			ledgers.Store(disk, records)
 			return err
 		},
 	})
 	if err != nil {
 		return nil, err
 	}
+	loaded, _ := ledgers.Load(disk)
+	records := loaded.(*ledger.Ledger)
 	instruments, err := newInstruments(options.Meters.Meter(), records, options.Network)
 	if err != nil {
 		return nil, errors.Join(err, disk.Close())
