buffer: count memory by request instead of by body

A request keeps more than its body. Its memory is now taken through an account, which has a priority: work that nobody has begun leaves a part of the budget to steps of work under way, and these to steps that run already. An account can outlast its request while calls still use the memory, and goes along in the context.

What is counted is the same as before, the bodies. Clients' requests count as new work until the gateway tells them apart, so they leave a quarter of the budget, and large bodies another one as before.

--- a/hall/turns/forward.go
+++ b/hall/turns/forward.go
@@ -67,16 +67,17 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(callTimeout)) // Fails only if the connection is closed.
-	body, err := c.bodies.Read(r.Body, r.ContentLength, maxForwardedBytes)
+	account := c.memory.Open(buffer.PriorityRunning)
+	defer account.Release()
+	body, err := account.Read(r.Body, r.ContentLength, maxForwardedBytes)
 	if err != nil {
 		c.logger.Info("cannot read a call to forward", zap.String("keeper", address), zap.Int64("length", r.ContentLength), zap.Error(err))
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(buffer.Status(err))
 		return
 	}
-	defer body.Release()
 	_ = control.SetReadDeadline(time.Time{})
-	outgoing, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+"/"+path, bytes.NewReader(body.Bytes()))
+	outgoing, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+address+"/"+path, bytes.NewReader(body))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -193,7 +193,7 @@
 	rule       replication.Rule
 	keepers    Membership
 	otherHalls func() []host.Member
-	bodies     *buffer.Budget // Bounds the memory for forwarded calls.
+	memory     *buffer.Budget // Bounds what forwarded calls keep.
 	logger     *zap.Logger
 	transport  *http.Transport
 	httpClient *http.Client
@@ -205,15 +205,15 @@
 	probing  map[string]bool     // Keepers with a probe in progress.
 }
 
-// New returns a client. otherHalls returns the other halls, bodies bounds the memory for
-// their calls.
-func New(rule replication.Rule, keepers Membership, otherHalls func() []host.Member, dialer network.Network, bodies *buffer.Budget, logger *zap.Logger) *Client {
+// New returns a client. otherHalls returns the other halls, memory bounds what their
+// calls keep.
+func New(rule replication.Rule, keepers Membership, otherHalls func() []host.Member, dialer network.Network, memory *buffer.Budget, logger *zap.Logger) *Client {
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerKeeper, DisableCompression: true,
 		WriteBufferSize: 32 << 10, ReadBufferSize: 16 << 10,
 	}
 	return &Client{
-		rule: rule, keepers: keepers, otherHalls: otherHalls, bodies: bodies, logger: logger, transport: transport, httpClient: &http.Client{Transport: transport},
+		rule: rule, keepers: keepers, otherHalls: otherHalls, memory: memory, logger: logger, transport: transport, httpClient: &http.Client{Transport: transport},
 		clients: make(map[keeperRoute]wire.Keeper), failedAt: make(map[string]time.Time), viaHall: make(map[string]endpoint), probing: make(map[string]bool),
 	}
 }
--- a/kernel/buffer/buffer.go
+++ b/kernel/buffer/buffer.go
@@ -1,18 +1,22 @@
-// Package buffer reads the bodies of requests into memory, whose sum is bounded by
-// the budget of the process.
+// Package buffer bounds the memory that the requests and calls of a process keep.
 //
-// A body takes memory as its bytes arrive, whatever length was announced. One that
-// finds no memory is refused at once. Large bodies leave a part of the budget to
-// small ones, so that a few slow uploads do not keep other requests from being
-// served.
+// All that one request keeps, from the first byte of its body to the last byte of its
+// response, is taken from the budget of the process through an account. What finds no
+// memory is refused at once. Work that nobody has begun leaves a part of the budget to work
+// under way, and large bodies leave a part to small ones, so that a few slow uploads do not
+// keep other requests from being served.
+//
+// A body takes memory as its bytes arrive, whatever length was announced.
 //
 // # Usage
 //
 //	budget := buffer.NewBudget(32 << 20)
-//	body, err := budget.Read(r.Body, r.ContentLength, 4<<20)
+//	account := budget.Open(buffer.PriorityNew)
+//	defer account.Release()
+//	body, err := account.Read(r.Body, r.ContentLength, 4<<20)
 //	if err != nil { … } // *FullError, *TooLargeError or an error of the reader
-//	defer body.Release()
-//	serve(body.Bytes())
+//	err = account.Take(int64(len(history)))
+//	serve(buffer.NewContext(ctx, account), body)
 package buffer
 
 import (
@@ -27,16 +31,21 @@
 	SmallBytes = 16 << 10
 	// initialBytes is the memory for the first bytes of a body.
 	initialBytes = 4 << 10
-	// reserveParts is the part of a budget that is left to small bodies: one of this many.
-	reserveParts = 4
+	// largeReserveParts is the part of a budget that large bodies leave to small ones: one of
+	// this many.
+	largeReserveParts = 4
+	// newReserveParts and runningReserveParts are the parts that accounts of PriorityNew and
+	// PriorityRunning leave to those of higher priorities: one of this many.
+	newReserveParts     = 4
+	runningReserveParts = 8
 )
 
-// FullError reports that a budget has no memory for a body.
+// FullError reports that a budget has no memory left.
 type FullError struct{ wanted, used, limit int64 }
 
 // Error states the memory that was wanted, and that which is used.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("no memory for the body of the request: %d bytes wanted, %d of %d in use", e.wanted, e.used, e.limit)
+	return fmt.Sprintf("no memory for the request: %d bytes wanted, %d of %d in use", e.wanted, e.used, e.limit)
 }
 
 // TooLargeError reports a body that is longer than allowed.
@@ -45,8 +54,7 @@
 // Error states the limit.
 func (e *TooLargeError) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.limit) }
 
-// Budget bounds the memory of all bodies that were read and not released. It is safe for
-// concurrent use.
+// Budget bounds the memory of all accounts. It is safe for concurrent use.
 type Budget struct {
 	limit   int64
 	used    atomic.Int64
@@ -59,46 +67,25 @@
 // Used returns the memory in use.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-// Refused returns the number of bodies that were refused for lack of memory.
+// Refused returns how often memory was refused.
 func (b *Budget) Refused() int64 { return b.refused.Load() }
 
-// Read reads a body of the announced length, which is negative if unknown, and of at most
-// maxBytes. It never waits for memory. The caller must release the body that it returns.
-func (b *Budget) Read(reader io.Reader, announced, maxBytes int64) (*Body, error) {
-	if announced > maxBytes {
-		return nil, &TooLargeError{limit: maxBytes}
-	}
-	body := &Body{budget: b}
-	if announced == 0 {
-		return body, nil
-	}
-	if err := body.read(reader, announced, maxBytes); err != nil {
-		body.Release()
-		var full *FullError
-		if errors.As(err, &full) {
-			b.refused.Add(1)
-		}
-		return nil, err
-	}
-	return body, nil
-}
+// Limit returns the number of bytes of the budget.
+func (b *Budget) Limit() int64 { return b.limit }
 
-// available returns a *FullError if the budget has no memory for size more bytes.
-func (b *Budget) available(used, size int64, large bool) error {
-	limit := b.limit
-	if large {
-		limit -= b.limit / reserveParts
-	}
-	if used+size > limit {
+// available returns a *FullError if the budget has no memory for size more bytes beside the
+// reserve.
+func (b *Budget) available(used, size, reserve int64) error {
+	if limit := b.limit - reserve; used+size > limit {
 		return &FullError{wanted: size, used: used, limit: limit}
 	}
 	return nil
 }
 
-func (b *Budget) take(size int64, large bool) error {
+func (b *Budget) take(size, reserve int64) error {
 	for {
 		used := b.used.Load()
-		if err := b.available(used, size, large); err != nil {
+		if err := b.available(used, size, reserve); err != nil {
 			return err
 		}
 		if b.used.CompareAndSwap(used, used+size) {
@@ -107,23 +94,14 @@
 	}
 }
 
-// Body is a body in memory. It must not be used concurrently with its release.
-type Body struct {
-	budget *Budget
-	data   []byte
-	taken  int64 // Memory of the budget that the body holds.
-}
-
-// Bytes returns the bytes of the body. They are valid until its release.
-func (b *Body) Bytes() []byte { return b.data }
-
-// Release returns the memory to the budget. Further calls have no effect.
-func (b *Body) Release() {
-	b.budget.used.Add(-b.taken)
-	b.data, b.taken = nil, 0
+// body is a body that is being read.
+type body struct {
+	account *Account
+	data    []byte
+	taken   int64 // Memory of the account that the body uses.
 }
 
-func (b *Body) read(reader io.Reader, announced, maxBytes int64) error {
+func (b *body) read(reader io.Reader, announced, maxBytes int64) error {
 	bound := announced
 	if announced < 0 {
 		bound = maxBytes + 1
@@ -131,7 +109,7 @@
 	large := announced > SmallBytes
 	if large {
 		// Refused now rather than after a part of it was sent in vain.
-		if err := b.budget.available(b.budget.Used(), announced, large); err != nil {
+		if err := b.account.available(announced); err != nil {
 			return err
 		}
 	}
@@ -158,13 +136,13 @@
 }
 
 // grow moves the body to a buffer of the given size. Both buffers count until then.
-func (b *Body) grow(size int64, large bool) error {
-	if err := b.budget.take(size, large || size > SmallBytes); err != nil {
+func (b *body) grow(size int64, large bool) error {
+	if err := b.account.take(size, large || size > SmallBytes); err != nil {
 		return err
 	}
 	data := make([]byte, len(b.data), size)
 	copy(data, b.data)
-	b.budget.used.Add(-b.taken)
+	b.account.Return(b.taken)
 	b.data, b.taken = data, size
 	return nil
 }
--- a/kernel/buffer/buffer_test.go
+++ b/kernel/buffer/buffer_test.go
@@ -38,7 +38,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			budget := buffer.NewBudget(1 << 20)
-			body, err := budget.Read(test.reader, test.announced, test.maxBytes)
+			account := budget.Open(buffer.PriorityStarted)
+			body, err := account.Read(test.reader, test.announced, test.maxBytes)
 			if test.wantErr != nil {
 				if !errors.As(err, test.wantErr) {
 					t.Errorf("got error %v, want %T", err, test.wantErr)
@@ -46,12 +47,14 @@
 			} else if err != nil {
 				t.Errorf("got error %v, want %d bytes", err, len(test.want))
 			} else {
-				if got := string(body.Bytes()); got != test.want {
+				if got := string(body); got != test.want {
 					t.Errorf("got %d bytes, want %d", len(got), len(test.want))
 				}
-				body.Release()
-				body.Release()
 			}
+			if got := budget.Used(); err != nil && got != 0 {
+				t.Errorf("after error %v: got %d bytes in use, want 0", err, got)
+			}
+			account.Release()
 			if got := budget.Used(); got != 0 {
 				t.Errorf("got %d bytes in use, want 0", got)
 			}
@@ -60,7 +63,7 @@
 	for _, cause := range []error{errReset, io.EOF} {
 		budget := buffer.NewBudget(1 << 20)
 		cut := io.MultiReader(strings.NewReader(text), iotest.ErrReader(cause))
-		if _, err := budget.Read(cut, int64(len(text))+1, 1<<20); err == nil || budget.Used() != 0 {
+		if _, err := budget.Open(buffer.PriorityStarted).Read(cut, int64(len(text))+1, 1<<20); err == nil || budget.Used() != 0 {
 			t.Errorf("body that ends with %v: got error %v and %d bytes in use, want an error and 0", cause, err, budget.Used())
 		}
 	}
@@ -81,13 +84,12 @@
 				if random.IntN(2) == 0 {
 					announced = size + random.Int64N(2)
 				}
-				body, err := budget.Read(bytes.NewReader(data[:size]), announced, limit)
+				account := budget.Open(buffer.PriorityStarted)
+				_, _ = account.Read(bytes.NewReader(data[:size]), announced, limit) // Bodies that do not fit are refused.
 				if got := budget.Used(); got < 0 || got > limit {
 					t.Errorf("got %d bytes in use, want at most %d", got, limit)
 				}
-				if err == nil {
-					body.Release()
-				}
+				account.Release()
 			}
 		})
 	}
@@ -96,3 +98,53 @@
 		t.Errorf("got %d bytes in use at the end, want 0", got)
 	}
 }
+
+// TestReserves guards against new work, or large bodies, that leave no memory to a step of work
+// under way.
+func TestReserves(t *testing.T) {
+	const limit = 800
+	budget := buffer.NewBudget(limit)
+	var full *buffer.FullError
+	for _, test := range []struct {
+		priority buffer.Priority
+		want     int64
+	}{{buffer.PriorityNew, 600}, {buffer.PriorityRunning, 700}, {buffer.PriorityStarted, 800}} {
+		account := budget.Open(test.priority)
+		defer account.Release()
+		for account.Take(10) == nil {
+		}
+		if got := budget.Used(); got != test.want {
+			t.Errorf("priority %d: got %d bytes in use, want %d", test.priority, got, test.want)
+		}
+		if err := account.Take(10); !errors.As(err, &full) {
+			t.Errorf("priority %d: got error %v, want %T", test.priority, err, full)
+		}
+	}
+	if got := budget.Refused(); got != 6 {
+		t.Errorf("got %d refusals, want 6", got)
+	}
+}
+
+// TestMemoryIsKeptForLastHolder guards against memory that is counted as free while a call
+// that outlasts its request still uses it.
+func TestMemoryIsKeptForLastHolder(t *testing.T) {
+	budget := buffer.NewBudget(100)
+	account := budget.Open(buffer.PriorityNew)
+	if err := account.Take(60); err != nil {
+		t.Fatal(err)
+	}
+	account.Hold()
+	account.Release()
+	account.Return(10)
+	if got := budget.Used(); got != 50 {
+		t.Errorf("with one holder left: got %d bytes in use, want 50", got)
+	}
+	account.Release()
+	if got := budget.Used(); got != 0 {
+		t.Errorf("after the last holder: got %d bytes in use, want 0", got)
+	}
+	var none *buffer.Account
+	if err := none.Take(1 << 40); err != nil {
+		t.Errorf("nil account: got error %v, want none", err)
+	}
+}
