resident: show the memory of a process against its limit

A process that the kernel kills for its memory leaves nothing that tells so, and neither logs nor metrics showed the resident memory. The watcher logs a line every 5 s while the process is above 80% of its limit, with the classes of the Go runtime and what the process counts itself, and the same is on /metrics.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -33,6 +33,7 @@
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/recipient"
 	"limpethall.dev/kernel/replication"
+	"limpethall.dev/kernel/resident"
 	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
 )
@@ -115,6 +116,8 @@
 	archive     *archive.Archive
 	ledger      *ledger.Ledger
 	instruments *instruments
+	calls       *buffer.Budget // For all that calls keep.
+	resident    *resident.Watcher
 	membership  *replication.Membership
 	registrar   *host.Registrar
 	tasks       *task.Group
@@ -164,9 +167,13 @@
 	transport := &http.Transport{DialContext: options.Network.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	k := &Keeper{
 		options: options, listener: listener, logger: options.Logger, rule: replication.NewRule(options.Tolerance),
-		archive: disk, ledger: records, instruments: instruments, membership: replication.NewMembership(options.Store, options.Logger),
+		archive: disk, ledger: records, instruments: instruments, calls: calls, membership: replication.NewMembership(options.Store, options.Logger),
 		transport: transport, client: &http.Client{Transport: transport}, leaving: make(chan struct{}),
 	}
+	k.resident = resident.New(options.MemoryBytes, k.memoryFields, options.Logger.Named("memory"))
+	if err := k.resident.Register(options.Meters.Meter()); err != nil {
+		return nil, errors.Join(err, listener.Close(), disk.Close())
+	}
 	k.ledger.SetPending(k.isPending)
 	if copied := records.Copied(); copied != nil {
 		list := replication.MemberListFromWire(copied)
@@ -181,6 +188,12 @@
 	return k, nil
 }
 
+// memoryFields tells what the keeper knows of its memory.
+func (k *Keeper) memoryFields() []zap.Field {
+	turns, programs := k.ledger.Counts()
+	return []zap.Field{zap.Int64("callBytes", k.calls.Used()), zap.Int64("callBudget", k.calls.Limit()), zap.Int64("refused", k.calls.Refused()), zap.Int("turns", turns), zap.Int("programs", programs)}
+}
+
 // callMemory returns the memory for the messages of calls in a process with the given
 // memory, zero for no limit.
 func callMemory(memoryBytes int64) int64 {
@@ -214,6 +227,7 @@
 	k.isFirst = k.options.Bootstrap && k.ledger.Empty() && !k.archive.Damaged()
 	go k.serve()
 	k.tasks = task.New(ctx, k.logger)
+	k.tasks.Every("memory", resident.Interval, k.resident.Check)
 	k.tasks.Go("members", k.membership.Follow)
 	k.tasks.Go("live key", k.registrar.Run)
 	k.tasks.Go("copies", k.replicate)
