turns: keep and count one copy of a history

Seen: a hall with 200 programs of 22 turns at 17 KB takes 217 MB of resident memory, of a limit of 134 MB, while it counts 3 MB (TestMemoryOfTurnsStaysBelowLimit).

Cause: a keeper's reply was counted nowhere. A quorum returned the history of a turn that is reserved, all replicas that of one that is not; each reply was read whole and decoded into a second copy. The record of a turn was encoded once for each keeper. Calls that outlast their request kept their messages after its memory was returned.

Change: one keeper of the quorum returns the history: the first responsive one in the hall's availability zone, or else the first. It is called anyway, and on the shortest way. Keepers called after it, because it failed or is slow, return it as well. A search asks one keeper, and two more for each reply that doesn't settle it and for each hedge delay. A reply is taken from the request's account before it is read, and its parts are slices of it. A record is sent from its parts, which all keepers share. Calls hold the account. A reply that finds no memory ends the request with 503 and settles its reservation at 0; it says nothing about the keeper.

Tests, red on: TestHistoryIsKeptOnce ("got 2 histories from keepers, want 1", 3 without a budget, "got 0 bytes counted, want 250000"), TestHistoryBeyondMemoryIsRefused ("got error <nil>"), TestStoredTurnIsWhole ("while a keeper receives the turn: got 0 bytes counted").

TestMemoryOfAbortedRequestIsReturned wanted exactly the bytes of the body during a stream. Replies of keepers count as well now, so it allows 256 bytes more; it still wants 0 after the caller has left.

--- a/hall/turns/forward.go
+++ b/hall/turns/forward.go
@@ -5,10 +5,10 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
-	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/buffer"
@@ -22,11 +22,11 @@
 	// forwardPrefix is the path prefix of calls that a hall forwards to a keeper. It
 	// is followed by the keeper's address and the path of the call.
 	forwardPrefix = "/keepers/"
-	// twirpPrefix is the path prefix of all Twirp calls.
-	twirpPrefix = "/twirp"
 	// maxForwardedBytes limits the size of a forwarded call. It leaves room beyond
 	// the input and output of a turn.
 	maxForwardedBytes = 16 << 20
+	// copyBytes is the memory for passing on a response.
+	copyBytes = 32 << 10
 )
 
 // keeperRoute is how a keeper is called: directly, or through another hall while
@@ -43,13 +43,13 @@
 	return keeperRoute{keeper: endpoint{name: keeper.Name, address: keeper.Address}, hall: hall}
 }
 
-// newClient returns a client of the keeper that uses the route.
-func (r keeperRoute) newClient(client *http.Client) wire.Keeper {
+// newCaller returns a caller of the keeper that uses the route.
+func (r keeperRoute) newCaller(client *http.Client) *caller {
 	if r.hall == (endpoint{}) {
-		return wire.NewKeeperProtobufClient("http://"+r.keeper.address, recipient.NewClient(client, host.KindKeeper, r.keeper.name))
+		return &caller{client: recipient.NewClient(client, host.KindKeeper, r.keeper.name), url: "http://" + r.keeper.address + wire.KeeperPathPrefix}
 	}
 	forwarding := recipient.NewClient(client, host.KindHall, r.hall.name).ForwardingTo(host.KindKeeper, r.keeper.name)
-	return wire.NewKeeperProtobufClient("http://"+r.hall.address, forwarding, twirp.WithClientPathPrefix(forwardPrefix+r.keeper.address+twirpPrefix))
+	return &caller{client: forwarding, url: "http://" + r.hall.address + forwardPrefix + r.keeper.address + wire.KeeperPathPrefix}
 }
 
 // ForwardPathPrefix is the path prefix of Forward.
@@ -70,6 +70,9 @@
 	account := c.memory.Open(buffer.PriorityRunning)
 	defer account.Release()
 	body, err := account.Read(r.Body, r.ContentLength, maxForwardedBytes)
+	if err == nil {
+		err = account.Take(copyBytes)
+	}
 	if err != nil {
 		c.logger.Info("cannot read a call to forward", zap.String("keeper", address), zap.Int64("length", r.ContentLength), zap.Error(err))
 		w.Header().Set("Connection", "close")
@@ -93,6 +96,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	if response.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
 	w.WriteHeader(response.StatusCode)
 	if _, err := io.Copy(w, response.Body); err != nil {
 		c.logger.Info("forwarding a keeper's response failed", zap.String("keeper", address), zap.Error(err))
--- a/hall/turns/quorum.go
+++ b/hall/turns/quorum.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/replication"
 	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
@@ -39,19 +40,25 @@
 	}
 }
 
+// callFunc makes one call to a keeper.
+type callFunc func(ctx context.Context, keeper replication.Keeper, caller *caller) (any, error)
+
 // callReplicas calls a quorum of the replicas, and one further replica for each
 // that fails. After hedgeDelay it calls, once, one further replica for each call
 // that is still pending. Calls in progress are not canceled by stop, so that a
 // record reaches as many disks as possible.
-func (c *Client) callReplicas(ctx context.Context, placement string, fn func(ctx context.Context, client wire.Keeper) (any, error)) *quorumCall {
+func (c *Client) callReplicas(ctx context.Context, placement string, fn callFunc) *quorumCall {
 	replicas := c.replicas(placement)
 	callCtx, stop := context.WithCancel(ctx)
+	buffer.FromContext(ctx).Hold()
 	q := &quorumCall{replies: make(chan callResult, len(replicas)), stop: stop, extra: make(chan struct{}, len(replicas))}
 	task.Go(c.logger, "keeper replies", func() { c.collectReplies(callCtx, q, replicas, fn) })
 	return q
 }
 
-func (c *Client) collectReplies(ctx context.Context, q *quorumCall, replicas []replication.Keeper, fn func(ctx context.Context, client wire.Keeper) (any, error)) {
+func (c *Client) collectReplies(ctx context.Context, q *quorumCall, replicas []replication.Keeper, fn callFunc) {
+	account := buffer.FromContext(ctx)
+	defer account.Release()
 	defer close(q.replies)
 	defer q.stop()
 	results := make(chan callResult, len(replicas))
@@ -61,7 +68,11 @@
 			keeper := replicas[next]
 			next++
 			pending++
-			go func() { results <- c.callKeeper(ctx, keeper, fn) }()
+			account.Hold()
+			go func() {
+				defer account.Release()
+				results <- c.callKeeper(ctx, keeper, fn)
+			}()
 		}
 	}
 	for range min(c.rule.Quorum(), len(replicas)) {
@@ -75,8 +86,8 @@
 			return
 		case result := <-results:
 			pending--
-			if result.err != nil {
-				callNext()
+			if result.err != nil && !isFull(result.err) {
+				callNext() // A reply for which this hall has no memory would find none from another keeper.
 			}
 			q.replies <- result
 		case <-q.extra:
@@ -90,13 +101,13 @@
 }
 
 // callKeeper calls one keeper. The call is not canceled with ctx.
-func (c *Client) callKeeper(ctx context.Context, keeper replication.Keeper, fn func(ctx context.Context, client wire.Keeper) (any, error)) callResult {
+func (c *Client) callKeeper(ctx context.Context, keeper replication.Keeper, fn callFunc) callResult {
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	client, route := c.keeperClient(keeper)
+	caller, route := c.callerOf(keeper)
 	var reply any
 	err := task.Guard(c.logger, "keeper call", func() (err error) {
-		reply, err = fn(callCtx, client)
+		reply, err = fn(callCtx, keeper, caller)
 		return err
 	})
 	c.recordResult(callCtx, keeper, route, err)
@@ -111,6 +122,10 @@
 	if errors.Is(err, errStaleList) || (err != nil && errors.Is(ctx.Err(), context.Canceled)) {
 		return // A keeper with a newer list works, and a canceled call says nothing about its keeper.
 	}
+	if isFull(err) {
+		c.logger.Info("call to a keeper not served", zap.String("keeper", keeper.Name), zap.Error(err))
+		err = nil
+	}
 	if err != nil {
 		listed := c.keepers.List().All()
 		if index := slices.IndexFunc(listed, func(k replication.Keeper) bool { return k.Name == keeper.Name }); index >= 0 {
@@ -243,7 +258,7 @@
 func (c *Client) probeRoute(ctx context.Context, keeper replication.Keeper, hall endpoint) bool {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if _, err := newRoute(keeper, hall).newClient(c.httpClient).Find(probeCtx, &wire.FindTurnRequest{}); err != nil {
+	if _, err := newRoute(keeper, hall).newCaller(c.httpClient).find(probeCtx, &wire.FindTurnRequest{}); err != nil {
 		return false
 	}
 	c.mutex.Lock()
@@ -293,17 +308,17 @@
 	return newRoute(keeper, c.viaHall[keeper.Name])
 }
 
-// keeperClient returns a client of a keeper and the route that the client uses.
-func (c *Client) keeperClient(keeper replication.Keeper) (wire.Keeper, keeperRoute) {
+// callerOf returns a caller of a keeper and the route that it uses.
+func (c *Client) callerOf(keeper replication.Keeper) (*caller, keeperRoute) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	route := c.currentRoute(keeper)
-	client := c.clients[route]
-	if client == nil {
-		client = route.newClient(c.httpClient)
-		c.clients[route] = client
+	found := c.callers[route]
+	if found == nil {
+		found = route.newCaller(c.httpClient)
+		c.callers[route] = found
 	}
-	return client, route
+	return found, route
 }
 
 // Close closes idle connections.
--- a/hall/turns/search.go
+++ b/hall/turns/search.go
@@ -6,16 +6,20 @@
 	"slices"
 	"time"
 
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/replication"
 	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
 )
 
+// searchWidth is how many more keepers are asked for a turn at a time.
+const searchWidth = 2
+
 // findHistory looks for the chain of the previous turn and puts it together from what
 // several keepers have, if none has all of it: each turn is on a quorum of the replicas,
 // but a keeper that was down for a moment lacks the turns of that time.
 func (c *Client) findHistory(ctx context.Context, active *ActiveTurn) error {
-	groups := [][]replication.Keeper{c.replicas(active.programKey), c.keepers.List().All()}
+	groups := [][]replication.Keeper{c.sources(active.programKey), c.keepers.List().All()}
 	history := &wire.FindTurnReply{}
 	for turn := active.turn.Previous; turn != ""; {
 		search := &turnSearch{client: c, queried: make(map[string]bool), request: &wire.FindTurnRequest{Turn: turn, Workspace: active.turn.Workspace}}
@@ -37,7 +41,7 @@
 		turn = reply.GetMissing()
 	}
 	history.Verdict = wire.FindVerdict_FIND_VERDICT_FOUND
-	active.setHistory(history)
+	active.setHistory(ctx, history)
 	return nil
 }
 
@@ -59,6 +63,9 @@
 		if reply := s.query(ctx, group); reply != nil {
 			return reply, nil
 		}
+		if isFull(s.lastErr) {
+			break
+		}
 	}
 	if s.lastErr == nil && s.absentCount >= s.client.rule.Quorum() {
 		return nil, &TurnNotFoundError{turn: s.request.GetTurn()}
@@ -75,52 +82,59 @@
 	return &UnavailableError{operation: "find the previous turn", answered: s.absentCount, needed: len(s.queried), cause: cause}
 }
 
-// query asks in parallel all given keepers that were not asked before, and returns the
-// first reply with the whole chain. If there is none, it returns the longest part of the
-// chain, or nil. Once it has a part, it waits no longer than hedgeDelay for more replies.
+// query asks the given keepers that were not asked before and returns the first reply with the
+// whole chain. If there is none, it returns the longest part of the chain, or nil. Once it has
+// a part, it waits no longer than hedgeDelay for more replies.
+//
+// Each reply may hold a whole chain, so it asks one keeper first, and searchWidth more for each
+// reply that does not settle the search and after each hedgeDelay.
 func (s *turnSearch) query(ctx context.Context, keepers []replication.Keeper) *wire.FindTurnReply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	replies := make(chan callResult, len(keepers))
+	keepers = slices.DeleteFunc(slices.Clone(keepers), func(keeper replication.Keeper) bool { return s.queried[keeper.Name] })
+	replies := make(chan callResult)
 	pending := 0
-	for _, keeper := range keepers {
-		if s.queried[keeper.Name] {
-			continue
+	ask := func(count int) {
+		for range min(count, len(keepers)) {
+			s.ask(ctx, keepers[0], replies)
+			keepers = keepers[1:]
+			pending++
 		}
-		s.queried[keeper.Name] = true
-		pending++
-		go func() {
-			client, route := s.client.keeperClient(keeper)
-			var reply *wire.FindTurnReply
-			err := task.Guard(s.client.logger, "turn search", func() (err error) {
-				reply, err = client.Find(ctx, s.request)
-				return err
-			})
-			s.client.recordResult(ctx, keeper, route, err)
-			replies <- callResult{reply: reply, err: err}
-		}()
 	}
+	ask(1)
 	var longest *wire.FindTurnReply
 	var partTimeout <-chan time.Time
-	for range pending {
+	hedge := time.NewTicker(hedgeDelay)
+	defer hedge.Stop()
+	for pending > 0 {
 		var result callResult
 		select {
 		case result = <-replies:
 		case <-partTimeout:
 			return longest
+		case <-hedge.C:
+			ask(searchWidth)
+			continue
 		}
+		pending--
 		if result.err != nil {
 			s.lastErr = result.err
+			if isFull(result.err) {
+				return longest // It would find no memory from another keeper either.
+			}
+			ask(searchWidth)
 			continue
 		}
 		reply := result.reply.(*wire.FindTurnReply)
 		switch reply.GetVerdict() {
 		case wire.FindVerdict_FIND_VERDICT_FOUND, wire.FindVerdict_FIND_VERDICT_FOREIGN:
+			returnParts(ctx, longest)
 			return reply
 		case wire.FindVerdict_FIND_VERDICT_PARTIAL:
 			if len(reply.GetParts()) > len(longest.GetParts()) {
-				longest = reply
+				longest, reply = reply, longest
 			}
+			returnParts(ctx, reply)
 			if partTimeout == nil {
 				partTimeout = time.After(hedgeDelay)
 			}
@@ -129,6 +143,30 @@
 		default:
 			s.lastErr = errIncomplete
 		}
+		ask(searchWidth)
 	}
 	return longest
 }
+
+// ask asks one keeper in the background. The memory of a reply that nobody waits for any more is
+// returned.
+func (s *turnSearch) ask(ctx context.Context, keeper replication.Keeper, replies chan<- callResult) {
+	s.queried[keeper.Name] = true
+	account := buffer.FromContext(ctx)
+	account.Hold()
+	go func() {
+		defer account.Release()
+		caller, route := s.client.callerOf(keeper)
+		var reply *wire.FindTurnReply
+		err := task.Guard(s.client.logger, "turn search", func() (err error) {
+			reply, err = caller.find(ctx, s.request)
+			return err
+		})
+		s.client.recordResult(ctx, keeper, route, err)
+		select {
+		case replies <- callResult{reply: reply, err: err}:
+		case <-ctx.Done():
+			returnParts(ctx, reply)
+		}
+	}()
+}
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	client := turns.New(rule, membership, otherHalls, network, budget, logger)
+//	client := turns.New(rule, zone, membership, otherHalls, network, budget, logger)
 //	mux.HandleFunc(turns.ForwardPathPrefix(), client.Forward)
 //	group.Go("keepers that failed", client.Probe)
 //	active, err := client.Begin(ctx, turns.Turn{Program: "3fa8", ID: "e5b2", …})
@@ -27,7 +27,6 @@
 	"unicode/utf8"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/host"
@@ -54,6 +53,9 @@
 	settleTimeout = 2 * time.Second
 	// maxIdleConnsPerKeeper is how many idle connections to a keeper are kept.
 	maxIdleConnsPerKeeper = 8
+	// connectionBufferBytes is the size of a connection's buffers. Most of a large message is
+	// read and written without them.
+	connectionBufferBytes = 4 << 10
 )
 
 // Turn describes a turn that is about to run.
@@ -191,6 +193,7 @@
 // Client calls the keepers. It is safe for concurrent use.
 type Client struct {
 	rule       replication.Rule
+	zone       string // Availability zone of this hall.
 	keepers    Membership
 	otherHalls func() []host.Member
 	memory     *buffer.Budget // Bounds what forwarded calls keep.
@@ -199,22 +202,22 @@
 	httpClient *http.Client
 
 	mutex    sync.Mutex
-	clients  map[keeperRoute]wire.Keeper
+	callers  map[keeperRoute]*caller
 	failedAt map[string]time.Time
 	viaHall  map[string]endpoint // The hall that forwards calls to the keeper, by the keeper's name.
 	probing  map[string]bool     // Keepers with a probe in progress.
 }
 
-// New returns a client. otherHalls returns the other halls, memory bounds what their
-// calls keep.
-func New(rule replication.Rule, keepers Membership, otherHalls func() []host.Member, dialer network.Network, memory *buffer.Budget, logger *zap.Logger) *Client {
+// New returns a client of a hall in the availability zone. otherHalls returns the other halls,
+// memory bounds what their calls keep.
+func New(rule replication.Rule, zone string, keepers Membership, otherHalls func() []host.Member, dialer network.Network, memory *buffer.Budget, logger *zap.Logger) *Client {
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerKeeper, DisableCompression: true,
-		WriteBufferSize: 32 << 10, ReadBufferSize: 16 << 10,
+		WriteBufferSize: connectionBufferBytes, ReadBufferSize: connectionBufferBytes,
 	}
 	return &Client{
-		rule: rule, keepers: keepers, otherHalls: otherHalls, memory: memory, logger: logger, transport: transport, httpClient: &http.Client{Transport: transport},
-		clients: make(map[keeperRoute]wire.Keeper), failedAt: make(map[string]time.Time), viaHall: make(map[string]endpoint), probing: make(map[string]bool),
+		rule: rule, zone: zone, keepers: keepers, otherHalls: otherHalls, memory: memory, logger: logger, transport: transport, httpClient: &http.Client{Transport: transport},
+		callers: make(map[keeperRoute]*caller), failedAt: make(map[string]time.Time), viaHall: make(map[string]endpoint), probing: make(map[string]bool),
 	}
 }
 
@@ -252,7 +255,7 @@
 		Others:      active.partlyKnownReservations(),
 		Turn: &wire.Turn{
 			Id: active.turn.ID, Workspace: active.turn.Workspace, Previous: active.turn.Previous, Placement: active.placement,
-			Input: input, Output: output, ExpiresUnixMilliseconds: time.Now().Add(active.turn.Retention).UnixMilli(),
+			ExpiresUnixMilliseconds: time.Now().Add(active.turn.Retention).UnixMilli(),
 		},
 	}
 	if active.placement != active.programKey {
@@ -261,8 +264,12 @@
 		c.Settle(active, tokens)
 		request.Reservation, request.Others = nil, nil
 	}
-	call := c.callReplicas(ctx, active.placement, func(ctx context.Context, keeper wire.Keeper) (any, error) {
-		return keeper.Finish(ctx, request)
+	encoded, err := encodeFinish(request, input, output)
+	if err != nil {
+		return fmt.Errorf("encode the turn: %w", err)
+	}
+	call := c.callReplicas(ctx, active.placement, func(ctx context.Context, _ replication.Keeper, caller *caller) (any, error) {
+		return nil, caller.finish(ctx, encoded)
 	})
 	stored, err := 0, errNoKeepers
 	for result := range call.replies {
@@ -295,8 +302,13 @@
 func (c *Client) settle(active *ActiveTurn, request *wire.FinishTurnRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	call := c.callReplicas(ctx, active.programKey, func(ctx context.Context, keeper wire.Keeper) (any, error) {
-		return keeper.Finish(ctx, request)
+	encoded, err := encodeFinish(request, nil, nil)
+	if err != nil {
+		c.logger.Error("reservation not encoded", zap.String("requestId", active.turn.ID), zap.Error(err))
+		return
+	}
+	call := c.callReplicas(ctx, active.programKey, func(ctx context.Context, _ replication.Keeper, caller *caller) (any, error) {
+		return nil, caller.finish(ctx, encoded)
 	})
 	settled := 0
 	for result := range call.replies {
@@ -336,8 +348,9 @@
 		Workspace: turn.Workspace, Previous: turn.Previous, WantHistory: turn.Previous != "",
 		Keepers: c.keepers.List().ToWire(false), Resumes: turn.Resumes, WantReservations: turn.wantsReservations(),
 	}
-	call := c.callReplicas(ctx, active.programKey, func(ctx context.Context, keeper wire.Keeper) (any, error) {
-		reply, err := c.begin(ctx, keeper, request)
+	source := c.newHistorySource(active)
+	call := c.callReplicas(ctx, active.programKey, func(ctx context.Context, keeper replication.Keeper, caller *caller) (any, error) {
+		reply, err := source.begin(ctx, keeper, caller, request)
 		switch {
 		case err != nil:
 			return nil, err
@@ -354,12 +367,16 @@
 		if result.err != nil {
 			err = result.err
 			stale = stale || errors.Is(err, errStaleList)
+			if isFull(err) {
+				call.stop()
+				break
+			}
 			continue
 		}
 		reply := result.reply.(*wire.BeginTurnReply)
 		answered++
 		active.others.add(reply)
-		active.setHistory(reply.GetHistory())
+		active.setHistory(ctx, reply.GetHistory())
 		if reply.ResumedVersion != nil {
 			active.resumed = reply.ResumedVersion
 		}
@@ -387,27 +404,14 @@
 	}
 }
 
-// begin calls a keeper. If the keeper replies that its list is older than that of the
-// request, it calls it again with the members.
-func (c *Client) begin(ctx context.Context, keeper wire.Keeper, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
-	reply, err := keeper.Begin(ctx, request)
-	if err != nil || reply.GetVerdict() != wire.BeginVerdict_BEGIN_VERDICT_NOT_READY || reply.GetKeepers() == nil {
-		return reply, err
-	}
-	list := c.keepers.List()
-	if list.Digest() != request.GetKeepers().GetDigest() {
-		return reply, nil
-	}
-	repeated := proto.Clone(request).(*wire.BeginTurnRequest)
-	repeated.Keepers = list.ToWire(true)
-	return keeper.Begin(ctx, repeated)
-}
-
-func (t *ActiveTurn) setHistory(reply *wire.FindTurnReply) {
-	if reply.GetVerdict() == wire.FindVerdict_FIND_VERDICT_FOUND && t.history == nil {
-		t.history = reply.GetParts()
-		t.placement = reply.GetPlacement()
+// setHistory uses the history of a reply, or returns its memory.
+func (t *ActiveTurn) setHistory(ctx context.Context, reply *wire.FindTurnReply) {
+	if reply.GetVerdict() != wire.FindVerdict_FIND_VERDICT_FOUND || t.history != nil {
+		returnParts(ctx, reply)
+		return
 	}
+	t.history = reply.GetParts()
+	t.placement = reply.GetPlacement()
 }
 
 // exceedsBudget reports whether the turn and the known reservations of the program
