turns: a keeper that answers a call with an error has not failed

Cause: recordResult took each error of a call for a failure of its keeper.

Change: an error that the keeper replied with, and a refusal for memory (503), count as an answer. The calls that failed still go to the next keeper. Errors of connections, and statuses of other causes, count as before. Why the keeper replied "not found" is a fault of its own.

Test, red on: TestKeeperThatRefusesOneCallIsNotFailed ("got keepers that count as failed, want none").

--- a/hall/turns/quorum.go
+++ b/hall/turns/quorum.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
@@ -114,6 +115,14 @@
 	return callResult{reply: reply, err: err}
 }
 
+// answered reports whether the error of a call says that its keeper works: it replied with an
+// error of its own, or it or this hall has no memory for the call at the moment.
+func answered(err error) bool {
+	var replied twirp.Error
+	var status *StatusError
+	return errors.As(err, &replied) || isFull(err) || (errors.As(err, &status) && status.status == http.StatusServiceUnavailable)
+}
+
 // recordResult records whether a keeper failed. After a timeout it closes the idle
 // connections to all keepers, because they may be broken too. The result of a call
 // on a route that is no longer used, such as one to a former address of the keeper, says
@@ -122,7 +131,7 @@
 	if errors.Is(err, errStaleList) || (err != nil && errors.Is(ctx.Err(), context.Canceled)) {
 		return // A keeper with a newer list works, and a canceled call says nothing about its keeper.
 	}
-	if isFull(err) {
+	if answered(err) {
 		c.logger.Info("call to a keeper not served", zap.String("keeper", keeper.Name), zap.Error(err))
 		err = nil
 	}
@@ -149,8 +158,7 @@
 	case err == nil && failedBefore:
 		c.logger.Info("keeper answers again", zap.String("keeper", keeper.Name))
 	case err != nil && !failedBefore:
-		var twirpErr twirp.Error
-		c.logger.Warn("keeper does not answer", zap.String("keeper", keeper.Name), zap.Error(err), zap.Bool("replied", errors.As(err, &twirpErr)))
+		c.logger.Warn("keeper does not answer", zap.String("keeper", keeper.Name), zap.Error(err))
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.transport.CloseIdleConnections()
--- a/hall/turns/turns_test.go
+++ b/hall/turns/turns_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -200,6 +201,35 @@
 	}
 }
 
+// TestKeeperThatRefusesOneCallIsNotFailed guards against halls that are not ready because keepers
+// answered a call with an error, and against a history that is not asked of the others.
+func TestKeeperThatRefusesOneCallIsNotFailed(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		lacks bool
+		err   error
+	}{
+		{name: "record is gone", err: twirp.InternalError("not found")},
+		{name: "no memory", err: twirp.NewError(twirp.Unavailable, "no memory")},
+		{name: "lacks the turn", lacks: true},
+	} {
+		for _, tokenBudget := range tokenBudgets {
+			f := newFixture(t, 1<<20, []byte("in"), []byte("out"))
+			for _, keeper := range f.keepers[:2] {
+				keeper.err, keeper.lacks = test.err, test.lacks
+			}
+			_, account, active, err := f.begin(t, tokenBudget)
+			if err != nil || len(active.History()) != 2 {
+				t.Errorf("%s, budget %d: got error %v, want the history of the third keeper", test.name, tokenBudget, err)
+			}
+			if !f.client.QuorumReachable() {
+				t.Errorf("%s, budget %d: got keepers that count as failed, want none", test.name, tokenBudget)
+			}
+			account.Release()
+		}
+	}
+}
+
 // TestStoredTurnIsWhole guards against a turn that keepers store in another form than before, and
 // against memory that counts as free while a slow keeper still receives the turn.
 func TestStoredTurnIsWhole(t *testing.T) {
