gateway: send a history and a body without joining them

Seen: TestMemoryOfTurnsStaysBelowLimit; a turn kept its history twice while it ran, and the second copy was counted nowhere.

Cause: the body of the request to a backend server was one slice, joined from the history and the body. Writing it took one more buffer of 32 KB, as the socket's ReadFrom copied it.

Change: the gateway passes the parts on, and each attempt writes them in order, through one buffer of 16 KB.

--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -17,7 +17,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -186,9 +188,9 @@
 	workspace   *catalog.Workspace
 	service     *catalog.Service
 	turn        *turns.ActiveTurn
-	body        []byte
-	version     *string // Software version of the servers of a resumable stream.
-	affinityKey string  // Same for requests that share a history; empty for none.
+	body        net.Buffers // History and body of the request.
+	version     *string     // Software version of the servers of a resumable stream.
+	affinityKey string      // Same for requests that share a history; empty for none.
 	deadline    time.Time
 
 	admission      ratelimit.Admission
@@ -347,7 +349,7 @@
 // beginTurn reserves the turn's tokens and prepends its history to the body. For a stream
 // that may be resumed it also records, or looks up, the version of its servers.
 func (h *requestHandler) beginTurn(ctx context.Context) *Refusal {
-	h.body = h.request.Body
+	h.body = net.Buffers{h.request.Body}
 	if h.route.Kind != catalog.KindStream {
 		return nil
 	}
@@ -386,9 +388,7 @@
 	if hasTurn {
 		h.affinityKey = active.Placement()
 	}
-	if history := active.History(); len(history) > 0 {
-		h.body = joinHistory(history, h.request.Body)
-	}
+	h.body = append(slices.Clone(active.History()), h.request.Body)
 	return h.applyResumedVersion(active)
 }
 
@@ -406,18 +406,6 @@
 	}
 }
 
-func joinHistory(history [][]byte, input []byte) []byte {
-	size := len(input)
-	for _, part := range history {
-		size += len(part)
-	}
-	body := make([]byte, 0, size)
-	for _, part := range history {
-		body = append(body, part...)
-	}
-	return append(body, input...)
-}
-
 // workspaceName returns the name of the workspace, or "" if there is none.
 func (h *requestHandler) workspaceName() string {
 	if h.workspace == nil {
--- a/hall/gateway/request.go
+++ b/hall/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -60,7 +61,9 @@
 type BackendRequest struct {
 	Request   *Request
 	Workspace string
-	Body      []byte
+	// Body holds the parts of the body: the history that the request continues, and its own
+	// body. They must not be changed.
+	Body net.Buffers
 	// Remaining is the time left until the deadline.
 	Remaining time.Duration
 	// ResumeAfter is the ID of the last event that the caller has, empty to start
--- a/kernel/connection/connection.go
+++ b/kernel/connection/connection.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	pool := connection.NewPool(network.TCP{})
-//	exchange, err := pool.Send(ctx, "10.0.0.9:8080", 40, request, body, matches)
+//	exchange, err := pool.Send(ctx, "10.0.0.9:8080", 40, request, matches)
 //	defer exchange.Close()
 //	responseBody, err := io.ReadAll(exchange.Response().Body)
 package connection
@@ -31,6 +31,8 @@
 
 const (
 	bufferSizeBytes = 4 << 10
+	// bodyBufferBytes is the size of the buffer for writing a request with a body.
+	bodyBufferBytes = 16 << 10
 	// maxInlineBodyBytes is the maximum size of a body that is written before the
 	// response is read. A larger one is written concurrently, since the server may
 	// respond without reading it.
@@ -140,6 +142,10 @@
 	}
 }
 
+// plainWriter hides the other methods of a writer, by which a bufio.Writer would copy a body
+// through one more buffer.
+type plainWriter struct{ io.Writer }
+
 // Exchange is a request with its response.
 type Exchange struct {
 	pool              *Pool
@@ -192,7 +198,7 @@
 // matches reports whether a response belongs to the request; other responses are
 // skipped. The error is an *UnsentError or a *IncompleteResponseError. If the context
 // ends before Close is called, the connection is closed.
-func (p *Pool) Send(ctx context.Context, address string, limit int, request *http.Request, body []byte, matches func(*http.Response) bool) (*Exchange, error) {
+func (p *Pool) Send(ctx context.Context, address string, limit int, request *http.Request, matches func(*http.Response) bool) (*Exchange, error) {
 	conn, err := p.acquire(ctx, address, limit)
 	if err != nil {
 		return nil, &UnsentError{cause: err}
@@ -203,7 +209,7 @@
 	}
 	exchange := &Exchange{pool: p, conn: conn, reusable: true}
 	exchange.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = conn.socket.Close() })
-	if err := exchange.write(request, body); err != nil {
+	if err := exchange.write(request); err != nil {
 		exchange.stopCloseOnCancel()
 		p.discard(conn)
 		return nil, &IncompleteResponseError{cause: cancellationCause(ctx, err)}
@@ -216,15 +222,19 @@
 	return exchange, nil
 }
 
-func (e *Exchange) write(request *http.Request, body []byte) error {
-	writer := bufio.NewWriterSize(e.conn.socket, bufferSizeBytes)
+func (e *Exchange) write(request *http.Request) error {
+	size := int64(bufferSizeBytes)
+	if request.ContentLength > bufferSizeBytes {
+		size = bodyBufferBytes
+	}
+	writer := bufio.NewWriterSize(plainWriter{e.conn.socket}, int(size))
 	writeRequest := func() error {
 		if err := request.Write(writer); err != nil {
 			return err
 		}
 		return writer.Flush()
 	}
-	if len(body) <= maxInlineBodyBytes {
+	if request.ContentLength >= 0 && request.ContentLength <= maxInlineBodyBytes {
 		return writeRequest()
 	}
 	e.writeResult = make(chan error, 1)
--- a/kernel/connection/connection_test.go
+++ b/kernel/connection/connection_test.go
@@ -65,7 +65,7 @@
 		Method: http.MethodPost, URL: &url.URL{Opaque: "/x"}, Host: "desk.example", Header: http.Header{"User-Agent": {""}},
 		Body: io.NopCloser(strings.NewReader(body)), ContentLength: int64(len(body)),
 	}
-	exchange, err := pool.Send(ctx, address, 4, request, []byte(body), func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	exchange, err := pool.Send(ctx, address, 4, request, func(r *http.Response) bool { return r.Header.Get("Id") == id })
 	if err != nil {
 		return "", err
 	}
