ledger: index a turn once its record can be read

Halls logged "keeper does not answer" for replies of "pebble: not found", counted the keeper as failed for a moment and called others.

The index named a record before it was written: a new turn, and each turn of the chain that it extends, under its later expiry. A reader in between looked for a record that was not there.

Now a record is written first, and the index changes when it can be read. The earlier record stays until its bucket expires, so a reader of either expiry finds the turn; one that is late looks at the index again. Records of a chain are no longer read while the ledger's mutex is held. A turn that is not indexed yet was not acknowledged either, so ABSENT is as true as before its arrival. Copied pages are merged one at a time, so that no turn is stored twice.

--- a/keeper/ledger/chain.go
+++ b/keeper/ledger/chain.go
@@ -10,11 +10,34 @@
 	"limpethall.dev/kernel/wire"
 )
 
-// extendChain extends the turns of a chain that would expire before the given
-// time and returns the records to store. Turns before a missing one are extended when
-// that one has been fetched. The caller must hold the mutex.
-func (l *Ledger) extendChain(now time.Time, id, placement string, until time.Time) []archive.Record {
+// extendChain stores the turns of a chain that would expire before the given time again, with
+// a later expiry. Turns before a missing one are extended when that one has been fetched.
+func (l *Ledger) extendChain(now time.Time, id, placement string, until time.Time) error {
+	extended := until.Add(until.Sub(now) * extraRetentionFactor)
+	var links []link
 	var records []archive.Record
+	for _, link := range l.expiring(id, placement, until) {
+		value, err := l.read(link)
+		if err != nil {
+			l.noteUnreadable(link.id, err)
+			break
+		}
+		link.entry.expires = extended
+		links = append(links, link)
+		records = append(records, archive.Record{Key: turnPrefix + link.id, Value: value, Expires: extended})
+	}
+	if err := l.archive.StoreNoSync(records...); err != nil {
+		return err
+	}
+	l.setExtended(links)
+	return nil
+}
+
+// expiring returns the turns of a chain that expire before the given time, up to the first
+// missing one, which is noted.
+func (l *Ledger) expiring(id, placement string, until time.Time) (links []link) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	for range maxChainLength {
 		entry, found := l.lookup(id)
 		if !found || entry.unreadable {
@@ -22,18 +45,23 @@
 			break
 		}
 		if entry.expires.Before(until) {
-			value, err := l.archive.Read(turnPrefix+id, entry.expires)
-			if err != nil {
-				l.setUnreadable(id, err)
-				break
-			}
-			entry.expires = until.Add(until.Sub(now) * extraRetentionFactor)
-			l.turns[id] = entry
-			records = append(records, archive.Record{Key: turnPrefix + id, Value: value, Expires: entry.expires})
+			links = append(links, link{id: id, entry: entry})
 		}
 		id = entry.previous
 	}
-	return records
+	return links
+}
+
+// setExtended adds the new expiry of stored turns to the index.
+func (l *Ledger) setExtended(links []link) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, link := range links {
+		if known, found := l.turns[link.id]; !found || known.expires.Before(link.entry.expires) {
+			l.turns[link.id] = link.entry
+			delete(l.gaps, link.id)
+		}
+	}
 }
 
 // link is one turn of a chain.
@@ -74,12 +102,30 @@
 	return chain, "", wire.FindVerdict_FIND_VERDICT_FOUND
 }
 
-func (l *Ledger) readTurn(id string, entry turnEntry) (*wire.Turn, error) {
-	value, err := l.archive.Read(turnPrefix+id, entry.expires)
+// read returns the stored value of a turn. It reads again what was stored with another expiry
+// since the link was read from the index.
+func (l *Ledger) read(turn link) ([]byte, error) {
+	for {
+		value, err := l.archive.Read(turnPrefix+turn.id, turn.entry.expires)
+		if err == nil {
+			return value, nil
+		}
+		l.mutex.Lock()
+		entry, found := l.turns[turn.id]
+		l.mutex.Unlock()
+		if !found || !entry.expires.After(turn.entry.expires) {
+			return nil, err
+		}
+		turn.entry = entry
+	}
+}
+
+func (l *Ledger) readTurn(turn link) (*wire.Turn, error) {
+	value, err := l.read(turn)
 	if err != nil {
 		return nil, err
 	}
-	decoded, err := decodeRecord(archive.Record{Key: turnPrefix + id, Value: value, Expires: entry.expires})
+	decoded, err := decodeRecord(archive.Record{Key: turnPrefix + turn.id, Value: value, Expires: turn.entry.expires})
 	if err != nil {
 		return nil, err
 	}
@@ -87,8 +133,7 @@
 }
 
 // lookup returns the index entry of a turn. It reads an unreadable record again, because a
-// read may fail for a moment, such as while the record is still being stored. The caller
-// must hold the mutex.
+// read may fail for a moment. The caller must hold the mutex.
 func (l *Ledger) lookup(id string) (entry turnEntry, found bool) {
 	entry, found = l.turns[id]
 	if !found || !entry.unreadable {
@@ -109,11 +154,6 @@
 func (l *Ledger) noteUnreadable(id string, err error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.setUnreadable(id, err)
-}
-
-// setUnreadable is noteUnreadable for callers that hold the mutex.
-func (l *Ledger) setUnreadable(id string, err error) {
 	entry, found := l.turns[id]
 	var closed *archive.ClosedError
 	if !found || entry.unreadable || errors.As(err, &closed) {
--- a/keeper/ledger/copy.go
+++ b/keeper/ledger/copy.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"limpethall.dev/keeper/archive"
@@ -72,7 +71,7 @@
 		if !found || entry.unreadable {
 			return 0, nil
 		}
-		turn, err := l.readTurn(id, entry)
+		turn, err := l.readTurn(link{id: id, entry: entry})
 		if err != nil {
 			l.noteUnreadable(id, err)
 			return 0, err
@@ -97,32 +96,50 @@
 	if err := l.archive.Writable(); err != nil {
 		return err
 	}
+	l.merging.Lock()
+	defer l.merging.Unlock()
 	var records []archive.Record
 	l.mutex.Lock()
 	for _, reservation := range page.GetReservations() {
 		records = append(records, l.putReservation(reservation)...)
 	}
-	for _, turn := range page.GetTurns() {
-		records = append(records, l.mergeTurn(now, turn)...)
-	}
 	l.mutex.Unlock()
-	return l.archive.Store(records...)
+	return l.mergeTurns(now, page.GetTurns(), records)
 }
 
-// mergeTurn adds a copied turn, with the expiry of the copied record, unless it is
-// present or expired, and returns the records to store. The caller must hold the
-// mutex.
-func (l *Ledger) mergeTurn(now time.Time, turn *wire.Turn) []archive.Record {
-	expires := time.UnixMilli(turn.GetExpiresUnixMilliseconds())
-	if entry, found := l.turns[turn.GetId()]; (found && !entry.unreadable) || !expires.After(now) {
-		return nil
+// mergeTurns syncs those of the copied turns that are not present, with the expiry of the
+// copied records, together with the other records. The caller must hold merging.
+func (l *Ledger) mergeTurns(now time.Time, turns []*wire.Turn, records []archive.Record) error {
+	turns = l.missing(now, turns)
+	for _, turn := range turns {
+		record, err := encodeTurn(turn, time.UnixMilli(turn.GetExpiresUnixMilliseconds()))
+		if err != nil {
+			return err
+		}
+		records = append(records, record)
 	}
-	record, err := encodeTurn(turn, expires)
-	if err != nil {
-		l.logger.Error("failed to encode turn", zap.String("turn", turn.GetId()), zap.Error(err))
-		return nil
+	if err := l.archive.Store(records...); err != nil {
+		return err
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, turn := range turns {
+		expires := time.UnixMilli(turn.GetExpiresUnixMilliseconds())
+		l.addTurn(turn, expires)
+		l.noteGap(turn.GetPrevious(), turn.GetPlacement(), expires)
+	}
+	return nil
+}
+
+// missing returns those of the turns that are neither expired nor present.
+func (l *Ledger) missing(now time.Time, turns []*wire.Turn) (missing []*wire.Turn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, turn := range turns {
+		entry, found := l.turns[turn.GetId()]
+		if (!found || entry.unreadable) && time.UnixMilli(turn.GetExpiresUnixMilliseconds()).After(now) {
+			missing = append(missing, turn)
+		}
 	}
-	l.addTurn(turn, expires)
-	l.noteGap(turn.GetPrevious(), turn.GetPlacement(), expires)
-	return []archive.Record{record}
+	return missing
 }
--- a/keeper/ledger/gap.go
+++ b/keeper/ledger/gap.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"limpethall.dev/keeper/archive"
 	"limpethall.dev/kernel/wire"
 )
 
@@ -78,17 +77,30 @@
 	if err := l.archive.Writable(); err != nil {
 		return err
 	}
-	var records []archive.Record
+	l.merging.Lock()
+	defer l.merging.Unlock()
+	wanted, gaps := l.wanted(turns)
+	if err := l.mergeTurns(now, wanted, nil); err != nil {
+		return err
+	}
+	for index, turn := range wanted {
+		if err := l.extendChain(now, turn.GetPrevious(), turn.GetPlacement(), gaps[index].expires); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// wanted returns those of the turns that are noted as missing, with the expiry that their
+// chain needs, and the note of each.
+func (l *Ledger) wanted(turns []*wire.Turn) (wanted []*wire.Turn, gaps []Gap) {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	for _, turn := range turns {
-		gap, found := l.gaps[turn.GetId()]
-		if !found {
-			continue
+		if gap, found := l.gaps[turn.GetId()]; found {
+			turn.ExpiresUnixMilliseconds = max(turn.GetExpiresUnixMilliseconds(), gap.expires.UnixMilli())
+			wanted, gaps = append(wanted, turn), append(gaps, gap)
 		}
-		turn.ExpiresUnixMilliseconds = max(turn.GetExpiresUnixMilliseconds(), gap.expires.UnixMilli())
-		records = append(records, l.mergeTurn(now, turn)...)
-		records = append(records, l.extendChain(now, turn.GetPrevious(), turn.GetPlacement(), gap.expires)...)
 	}
-	l.mutex.Unlock()
-	return l.archive.Store(records...)
+	return wanted, gaps
 }
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -72,6 +72,7 @@
 	copied  *wire.KeeperList // As of Open.
 	pending func(placement string) bool
 
+	merging  sync.Mutex // Held while copied turns are stored. It is locked before mutex.
 	mutex    sync.Mutex
 	turns    map[string]turnEntry
 	gaps     map[string]Gap                         // By missing turn.
@@ -204,15 +205,11 @@
 	for _, reservation := range request.GetOthers() {
 		records = append(records, l.putReservation(reservation)...)
 	}
-	turn := request.GetTurn()
-	if turn != nil {
-		records = append(records, l.putTurn(now, turn)...)
-	}
 	l.mutex.Unlock()
-	if turn == nil {
+	if request.GetTurn() == nil {
 		return l.archive.StoreNoSync(records...)
 	}
-	return l.archive.Store(records...)
+	return l.storeTurn(now, request.GetTurn(), records)
 }
 
 // Find returns the history up to and including a turn of the workspace. If an earlier turn
@@ -228,7 +225,7 @@
 		return reply, nil
 	}
 	for index := len(chain) - 1; index >= 0; index-- {
-		stored, err := l.readTurn(chain[index].id, chain[index].entry)
+		stored, err := l.readTurn(chain[index])
 		if err != nil {
 			l.noteUnreadable(chain[index].id, err)
 			return nil, err
@@ -337,33 +334,46 @@
 	return []archive.Record{encodeReservation(reservation.GetProgram(), reservation.GetTurn(), entry)}
 }
 
-// putTurn adds a turn, extends the chain that it continues and returns the
-// records to store. The caller must hold the mutex.
-func (l *Ledger) putTurn(now time.Time, turn *wire.Turn) []archive.Record {
+// storeTurn extends the chain that a turn continues, and syncs the turn together with the
+// other records. The index names a record only once it can be read.
+func (l *Ledger) storeTurn(now time.Time, turn *wire.Turn, others []archive.Record) error {
 	expires := time.UnixMilli(turn.GetExpiresUnixMilliseconds())
+	if err := l.extendChain(now, turn.GetPrevious(), turn.GetPlacement(), expires); err != nil {
+		return err
+	}
 	record, err := l.turnRecord(turn, expires.Add(expires.Sub(now)*extraRetentionFactor))
 	if err != nil {
-		l.logger.Error("failed to encode turn", zap.String("turn", turn.GetId()), zap.Error(err))
-		return nil
+		return err
+	}
+	if err := l.archive.Store(append(others, record)...); err != nil {
+		return err
 	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.addTurn(turn, record.Expires)
-	return append([]archive.Record{record}, l.extendChain(now, turn.GetPrevious(), turn.GetPlacement(), expires)...)
+	return nil
 }
 
-// addTurn adds a turn to the index. The caller must hold the mutex.
+// addTurn adds a stored turn to the index, unless a later expiry of it is known. The caller
+// must hold the mutex.
 func (l *Ledger) addTurn(turn *wire.Turn, expires time.Time) {
+	if entry, found := l.turns[turn.GetId()]; found && !entry.unreadable && entry.expires.After(expires) {
+		return
+	}
 	l.turns[turn.GetId()] = newTurnEntry(turn, expires)
 	delete(l.gaps, turn.GetId())
 }
 
 // turnRecord returns the record of a turn. That of a known turn is stored again without
-// a change, as the request that made it known may not have synced it yet.
+// a change, as it may have been written without a sync.
 func (l *Ledger) turnRecord(turn *wire.Turn, expires time.Time) (archive.Record, error) {
+	l.mutex.Lock()
 	entry, found := l.turns[turn.GetId()]
+	l.mutex.Unlock()
 	if !found {
 		return encodeTurn(turn, expires)
 	}
-	value, err := l.archive.Read(turnPrefix+turn.GetId(), entry.expires)
+	value, err := l.read(link{id: turn.GetId(), entry: entry})
 	if err != nil {
 		return encodeTurn(turn, entry.expires)
 	}
