httpserver: a server that has ended leaves no address in use

Cause: a server of net/http learns of its listener when its goroutine calls Serve. One that is closed or shut down before leaves the listener open until that goroutine runs. All five servers were started like that: clients, peers, control and readiness of a hall, and the keeper's.

Change: kernel/httpserver runs a server of net/http and owns its listeners. Stop and Close close those that the server does not know yet, after it has ended, so that a Serve that begins later returns http.ErrServerClosed. Start after the end closes the listener. The goroutine of Serve is guarded.

TestEndFreesAddress fails without the call of closeListeners in its first run.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -28,6 +28,7 @@
 	"limpethall.dev/keeper/ledger"
 	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/host"
+	"limpethall.dev/kernel/httpserver"
 	"limpethall.dev/kernel/metrics"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
@@ -121,7 +122,7 @@
 	membership  *replication.Membership
 	registrar   *host.Registrar
 	tasks       *task.Group
-	server      *http.Server
+	server      *httpserver.Server
 	transport   *http.Transport
 	client      *http.Client
 	leaving     chan struct{} // Closed by Retire.
@@ -184,7 +185,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", calls.Handler(wire.NewKeeperServer(k), maxCallBytes, callTimeout, options.Logger))
 	mux.Handle("/metrics", options.Meters.Handler())
-	k.server = &http.Server{Handler: recipient.Handler(host.KindKeeper, options.Name, mux), ReadHeaderTimeout: headerTimeout}
+	k.server = httpserver.New(&http.Server{Handler: recipient.Handler(host.KindKeeper, options.Name, mux), ReadHeaderTimeout: headerTimeout}, options.Logger)
 	return k, nil
 }
 
@@ -225,7 +226,7 @@
 	k.logger.Info("starting keeper", zap.String("name", k.options.Name), zap.String("address", k.address()),
 		zap.Int("turns", turns), zap.Int("programs", programs), zap.Bool("firstStart", k.options.Bootstrap), zap.Bool("ready", k.ledger.Ready()))
 	k.isFirst = k.options.Bootstrap && k.ledger.Empty() && !k.archive.Damaged()
-	go k.serve()
+	k.server.Start(k.listener)
 	k.tasks = task.New(ctx, k.logger)
 	k.tasks.Every("memory", resident.Interval, k.resident.Check)
 	k.tasks.Go("members", k.membership.Follow)
@@ -246,7 +247,7 @@
 	drainCtx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
 	// Connections that have sent nothing yet would delay the end for seconds.
-	err := k.server.Shutdown(drainCtx)
+	err := k.server.Stop(drainCtx)
 	if err != nil {
 		err = errors.Join(err, k.server.Close())
 	}
@@ -261,7 +262,7 @@
 // or Stop. While the disk can't be written, Close waits: the record store stays locked.
 func (k *Keeper) Close() {
 	_ = k.server.Close()   // No caller is left to report the error to.
-	_ = k.listener.Close() // It is closed already if the server has used it.
+	_ = k.listener.Close() // The server does not own it before Start.
 	if k.tasks != nil {
 		k.tasks.Stop()
 	}
@@ -370,12 +371,6 @@
 // address returns the address at which halls and keepers reach this keeper.
 func (k *Keeper) address() string { return k.listener.Addr().String() }
 
-func (k *Keeper) serve() {
-	if err := k.server.Serve(k.listener); !errors.Is(err, http.ErrServerClosed) {
-		k.logger.Error("keeper's server failed", zap.Error(err))
-	}
-}
-
 func (k *Keeper) memberDocument(leaving bool) replication.MemberDocument {
 	return replication.MemberDocument{Name: k.options.Name, Zone: k.options.Zone, Address: k.address(), Leaving: leaving}
 }
