gateway: count what a request keeps beside its body

Seen: TestMemoryOfTurnsStaysBelowLimit; the hall counted bodies alone. Output of turns, events of up to 1 MB and beginnings of responses were kept without memory for them, and so were headers, and the buffers and stacks of each request in progress. A new program could take the memory of those under way.

Change: the request's account takes all of these before they are kept. An account has PriorityRunning if the request continues a program, PriorityNew otherwise, and PriorityStarted from its first send to a backend server on. Each request takes 48 KB for buffers and stacks before its token of the rate limit, and memory for the output of its turn (8 bytes for each token that it may produce, at most 64 KB) before its reservation; what doesn't fit is refused with 503 then. Output or an event that finds no memory breaks off that stream (limpethall_gateway_broken_total with reason memory); its server has not failed, and the stream isn't sent to another. A response that finds none is streamed.

TestStreamWithinReservedOutput and TestResponseBeyondMemoryIsStreamed guard what must not change, and TestOutputIsCounted the new buffer.Output.

--- a/hall/eventstream/eventstream.go
+++ b/hall/eventstream/eventstream.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	reader := eventstream.New(response.Body)
+//	reader := eventstream.New(response.Body, account)
 //	for {
 //		event, err := reader.Next()
 //		var cut *eventstream.CutError
@@ -21,6 +21,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"limpethall.dev/kernel/buffer"
 )
 
 const (
@@ -94,36 +96,40 @@
 // Reader splits a stream into events. Lines end with LF or CRLF.
 type Reader struct {
 	buffer *bufio.Reader
-	event  []byte
+	event  *buffer.Output
 }
 
-// New returns a reader of a stream.
-func New(stream io.Reader) *Reader {
-	return &Reader{buffer: bufio.NewReaderSize(stream, bufferBytes)}
+// New returns a reader of a stream. The account, which may be nil, takes the memory of an event.
+func New(stream io.Reader, account *buffer.Account) *Reader {
+	return &Reader{buffer: bufio.NewReaderSize(stream, bufferBytes), event: buffer.NewOutput(account)}
 }
 
 // HasBuffered reports whether bytes after the last event have arrived already.
 func (r *Reader) HasBuffered() bool { return r.buffer.Buffered() > 0 }
 
 // Next returns the next event. It returns io.EOF if the stream ended after an event, a
-// *CutError if it ended inside one, and otherwise the error of the stream.
+// *CutError if it ended inside one, a *buffer.FullError if there is no memory for an event, and
+// otherwise the error of the stream.
 func (r *Reader) Next() (Event, error) {
-	r.event = r.event[:0]
+	r.event.Reset()
 	for {
 		line, err := r.buffer.ReadSlice('\n')
-		r.event = append(r.event, line...)
+		if fullErr := r.event.Append(line...); fullErr != nil {
+			return Event{}, fullErr
+		}
+		event := r.event.Bytes()
 		switch {
-		case len(r.event) > maxEventBytes:
+		case len(event) > maxEventBytes:
 			return Event{}, &TooLongError{limit: maxEventBytes}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.event)) > 0:
-			return Event{}, &CutError{unfinished: len(r.event)}
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0:
+			return Event{}, &CutError{unfinished: len(event)}
 		case err != nil:
 			return Event{}, err
 		}
-		if isBlank(line) && isComplete(r.event) {
-			return Event{bytes: r.event}, nil
+		if isBlank(line) && isComplete(event) {
+			return Event{bytes: event}, nil
 		}
 	}
 }
--- a/hall/eventstream/eventstream_test.go
+++ b/hall/eventstream/eventstream_test.go
@@ -13,7 +13,7 @@
 
 // read returns the events of a stream and the error that ended it.
 func read(stream io.Reader) (events []string, err error) {
-	reader := eventstream.New(stream)
+	reader := eventstream.New(stream, nil)
 	for {
 		event, err := reader.Next()
 		if err != nil {
@@ -70,7 +70,7 @@
 
 // TestFields checks the ID and the data of events.
 func TestFields(t *testing.T) {
-	reader := eventstream.New(strings.NewReader("id: 1\ndata:a\ndata:  b\n\n: comment\n\nid:7\r\nretry: 3\r\n\r\ndata\n\n"))
+	reader := eventstream.New(strings.NewReader("id: 1\ndata:a\ndata:  b\n\n: comment\n\nid:7\r\nretry: 3\r\n\r\ndata\n\n"), nil)
 	tests := []struct {
 		id, data       string
 		hasID, hasData bool
--- a/hall/gateway/breakoff.go
+++ b/hall/gateway/breakoff.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"limpethall.dev/hall/eventstream"
+	"limpethall.dev/kernel/buffer"
 )
 
 // breakReason is why a response counts as broken off.
@@ -24,6 +25,7 @@
 	breakDeadline     breakReason = "deadline"     // The request's deadline passed.
 	breakCanceled     breakReason = "canceled"     // The caller left.
 	breakCaller       breakReason = "caller"       // Writing to the caller failed.
+	breakMemory       breakReason = "memory"       // This hall has no memory for more of it.
 	breakOther        breakReason = "other"
 )
 
@@ -32,7 +34,10 @@
 	var cut *eventstream.CutError
 	var tooLong *eventstream.TooLongError
 	var caller *callerError
+	var full *buffer.FullError
 	switch {
+	case errors.As(err, &full):
+		return breakMemory
 	case errors.As(err, &caller):
 		return breakCaller
 	case errors.As(err, &cut):
--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -13,6 +13,7 @@
 
 	"limpethall.dev/hall/balance"
 	"limpethall.dev/hall/serverlimit"
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/connection"
 )
 
@@ -21,6 +22,9 @@
 // replaced by that of another server.
 const maxBufferedBytes = 64 << 10
 
+// minCopyBytes is the size of the buffer for a response that found no memory.
+const minCopyBytes = 2 << 10
+
 // serverResponse is an open response with the balancer's choice of its server.
 type serverResponse struct {
 	*Response
@@ -60,6 +64,7 @@
 		}
 		h.sends++
 		h.recordProgram()
+		h.account.SetPriority(buffer.PriorityStarted)
 		sentAt := time.Now()
 		response, err := h.gateway.options.Backend.Send(ctx, choice.Server(), h.newBackendRequest(resumeAfter))
 		h.sendDuration += time.Since(sentAt)
@@ -219,22 +224,25 @@
 // be sent to another server.
 func (h *requestHandler) relayResponse(ctx context.Context, response *serverResponse) (refusal *Refusal, retry bool) {
 	defer response.release()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	if err != nil {
+	buffered := buffer.NewOutput(h.account)
+	err := buffered.Fill(response.Body, maxBufferedBytes)
+	var full *buffer.FullError
+	isWhole := err == nil && buffered.Len() < maxBufferedBytes
+	if err != nil && !errors.As(err, &full) {
 		h.skipServer(response.choice, response.Response, err)
 		refusal := h.checkRetry(ctx, connection.NewIncompleteResponseError(err))
 		return refusal, refusal == nil
 	}
-	if response.Length < 0 && len(body) < maxBufferedBytes {
-		response.Length = int64(len(body))
+	if response.Length < 0 && isWhole {
+		response.Length = int64(buffered.Len())
 	}
 	h.writeHeader(response.Response)
-	if _, err := h.writer.Write(body); err != nil {
+	if _, err := h.writer.Write(buffered.Bytes()); err != nil {
 		h.abortErr = err
 		return nil, false
 	}
-	if len(body) == maxBufferedBytes {
-		if _, err := io.Copy(h.writer, response.Body); err != nil {
+	if !isWhole {
+		if err := h.copyRest(response, buffered.Bytes()); err != nil {
 			h.abortErr = err
 			h.recordBreak(ctx, err)
 		}
@@ -242,6 +250,16 @@
 	return nil, false
 }
 
+// copyRest writes the rest of a response to the caller through the memory of its beginning, or
+// through a small buffer if that found none.
+func (h *requestHandler) copyRest(response *serverResponse, beginning []byte) error {
+	if len(beginning) == 0 {
+		beginning = make([]byte, minCopyBytes)
+	}
+	_, err := io.CopyBuffer(struct{ io.Writer }{h.writer}, struct{ io.Reader }{response.Body}, beginning)
+	return err
+}
+
 // writeHeader writes the response's status and headers to the caller.
 func (h *requestHandler) writeHeader(response *Response) {
 	header := h.writer.Header()
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"limpethall.dev/hall/ratelimit"
 	"limpethall.dev/hall/serverlimit"
 	"limpethall.dev/hall/turns"
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/catalog"
 	"limpethall.dev/kernel/failure"
 )
@@ -148,6 +149,8 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	h := g.newHandler(w, request)
+	h.account = buffer.FromContext(ctx)
+	h.output = buffer.NewOutput(h.account)
 	defer h.log()
 	if refusal := h.serve(ctx); refusal != nil {
 		h.refusal = refusal
@@ -188,9 +191,11 @@
 	workspace   *catalog.Workspace
 	service     *catalog.Service
 	turn        *turns.ActiveTurn
-	body        net.Buffers // History and body of the request.
-	version     *string     // Software version of the servers of a resumable stream.
-	affinityKey string      // Same for requests that share a history; empty for none.
+	body        net.Buffers     // History and body of the request.
+	account     *buffer.Account // Takes all memory that the request keeps, nil for no limit.
+	output      *buffer.Output  // Kept for the record of the turn.
+	version     *string         // Software version of the servers of a resumable stream.
+	affinityKey string          // Same for requests that share a history; empty for none.
 	deadline    time.Time
 
 	admission      ratelimit.Admission
@@ -275,6 +280,9 @@
 		return refusal
 	}
 	h.rank, h.affinityKey = h.priority(), h.request.Program
+	if refusal := h.takeMemory(); refusal != nil {
+		return refusal
+	}
 	if err := h.gateway.options.Balancer.CheckLimits(time.Now(), h.balancerQuery()); err != nil {
 		return h.noServerRefusal(err)
 	}
@@ -373,6 +381,11 @@
 		turn.ServerVersion, turn.Resumes, turn.TakesUp = h.version, h.request.Resumes, h.takesUpStream()
 		turn.Retention = max(turn.Retention, minVersionRetention)
 	}
+	if h.route.KeepsHistory && hasTurn {
+		if refusal := h.reserveOutput(); refusal != nil {
+			return refusal
+		}
+	}
 	start := time.Now()
 	active, err := h.gateway.options.Turns.Begin(ctx, turn)
 	h.beginDuration = time.Since(start)
--- /dev/null
+++ b/hall/gateway/memory.go
@@ -0,0 +1,42 @@
+package gateway
+
+import "limpethall.dev/kernel/buffer"
+
+const (
+	// exchangeBytes is the memory of a request beside its body, history and output: the buffers
+	// of connections to keepers and a backend server, and the stacks of its calls.
+	exchangeBytes = 48 << 10
+	// tokenBytes is the memory that is reserved for each token of a turn's output.
+	tokenBytes = 8
+	// maxReservedOutput bounds the memory that is reserved for the output of a turn.
+	maxReservedOutput = 64 << 10
+)
+
+// MemoryPriority returns the priority for memory of a request that is not sent to a backend
+// server yet: a request of a program that has begun before comes first.
+func (g *Gateway) MemoryPriority(request *Request) buffer.Priority {
+	if request.PreviousTurn != "" || request.Resumes != "" || request.LastEventID != "" || g.knownPrograms.Contains(request.Program) {
+		return buffer.PriorityRunning
+	}
+	return buffer.PriorityNew
+}
+
+// takeMemory takes the memory that each request needs, before it takes a token of its
+// workspace's rate limit.
+func (h *requestHandler) takeMemory() *Refusal {
+	h.account.SetPriority(h.gateway.MemoryPriority(h.request))
+	if err := h.account.Take(exchangeBytes); err != nil {
+		return refuseRetryable(defaultRetryAfter, "%v", err)
+	}
+	return nil
+}
+
+// reserveOutput takes memory for the output of a turn, so that the turn is refused rather than
+// broken off. The output grows beyond that if need be.
+func (h *requestHandler) reserveOutput() *Refusal {
+	expected := min(max(1, h.request.MaxTokens), maxReservedOutput/tokenBytes) * tokenBytes
+	if err := h.output.Reserve(expected); err != nil {
+		return refuseRetryable(defaultRetryAfter, "%v", err)
+	}
+	return nil
+}
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/hall/eventstream"
+	"limpethall.dev/kernel/buffer"
 )
 
 const (
@@ -23,13 +24,13 @@
 type streamProgress struct {
 	events      int64
 	lastEventID string
-	output      []byte // Data of the events, each followed by a line feed.
+	output      *buffer.Output // Data of the events, each followed by a line feed.
 }
 
 // serveStream relays events as they arrive. If the stream is interrupted and the
 // route is resumable, another server continues it within the same response.
 func (h *requestHandler) serveStream(ctx context.Context) *Refusal {
-	progress := &streamProgress{}
+	progress := &streamProgress{output: h.output}
 	response, refusal := h.forward(ctx, "")
 	if refusal != nil {
 		h.settleTurn(progress)
@@ -71,14 +72,17 @@
 // resume requests the rest of an interrupted stream from another server. It
 // returns nil if the route does not allow that or no server can continue.
 func (h *requestHandler) resume(ctx context.Context, progress *streamProgress, cause error) *serverResponse {
-	h.lastChoice.ReportFailure(time.Now())
 	h.possibleRuns++
 	if h.tried == nil {
 		h.tried = make(map[string]bool)
 	}
 	h.tried[h.lastChoice.Server().ID()] = true
 	var callerErr *callerError
-	serverFailed := !errors.As(cause, &callerErr) && ctx.Err() == nil
+	var full *buffer.FullError
+	serverFailed := !errors.As(cause, &callerErr) && !errors.As(cause, &full) && ctx.Err() == nil
+	if full == nil {
+		h.lastChoice.ReportFailure(time.Now())
+	}
 	if serverFailed {
 		h.probeForCrash(h.lastChoice.Server())
 	}
@@ -113,7 +117,7 @@
 // relayEvents relays complete events until the stream ends. Events that are
 // already buffered are flushed together.
 func (h *requestHandler) relayEvents(response *serverResponse, progress *streamProgress) error {
-	reader := eventstream.New(response.Body)
+	reader := eventstream.New(response.Body, h.account)
 	flusher := http.NewResponseController(h.writer)
 	for {
 		event, err := reader.Next()
@@ -126,7 +130,9 @@
 		if _, err := h.writer.Write(event.Bytes()); err != nil {
 			return &callerError{cause: err}
 		}
-		progress.addEvent(event, h.route.KeepsHistory)
+		if err := progress.addEvent(event, h.route.KeepsHistory); err != nil {
+			return err
+		}
 		if !reader.HasBuffered() {
 			if err := flusher.Flush(); err != nil {
 				return &callerError{cause: err}
@@ -136,19 +142,21 @@
 }
 
 // addEvent records a relayed event, and its data if keepData is set. Events
-// without data are not counted.
-func (p *streamProgress) addEvent(event eventstream.Event, keepData bool) {
+// without data are not counted. It returns a *buffer.FullError if there is no memory for the
+// data.
+func (p *streamProgress) addEvent(event eventstream.Event, keepData bool) error {
 	if id, found := event.ID(); found {
 		p.lastEventID = id
 	}
 	data, found := event.Data()
 	if !found {
-		return
+		return nil
 	}
 	p.events++
-	if keepData {
-		p.output = append(append(p.output, data...), '\n')
+	if !keepData {
+		return nil
 	}
+	return p.output.Append(append(data, '\n')...)
 }
 
 // producedTokens returns the number of tokens relayed to the caller.
@@ -175,7 +183,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
-	if err := h.gateway.options.Turns.Finish(ctx, h.turn, h.producedTokens(progress), h.request.Body, progress.output); err != nil {
+	if err := h.gateway.options.Turns.Finish(ctx, h.turn, h.producedTokens(progress), h.request.Body, progress.output.Bytes()); err != nil {
 		h.abortErr = err
 		h.settleTurn(progress)
 	}
