--- a/kernel/buffer/account.go
+++ b/kernel/buffer/account.go
@@ -154,7 +154,12 @@
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.budget.available(a.budget.Used(), size, a.reserve(true))
+	used, reserve := a.budget.Used(), a.reserve(true)
+	err := a.budget.available(used, size, reserve)
+	if err != nil && a.budget.reclaim(used+size-(a.budget.limit-reserve)) {
+		err = a.budget.available(a.budget.Used(), size, reserve)
+	}
+	return err
 }
 
 // reserve returns what the account leaves of its budget. The caller holds the mutex.
--- a/kernel/buffer/buffer.go
+++ b/kernel/buffer/buffer.go
@@ -23,6 +23,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -56,9 +57,11 @@
 
 // Budget bounds the memory of all accounts. It is safe for concurrent use.
 type Budget struct {
-	limit   int64
-	used    atomic.Int64
-	refused atomic.Int64
+	limit    int64
+	used     atomic.Int64
+	refused  atomic.Int64
+	mutex    sync.Mutex
+	reclaims []func(size int64) bool
 }
 
 // NewBudget returns a budget of the given number of bytes.
@@ -73,6 +76,28 @@
 // Limit returns the number of bytes of the budget.
 func (b *Budget) Limit() int64 { return b.limit }
 
+// OnFull has reclaim called before memory is refused. It returns at least the given number
+// of bytes that are of less use than any request, such as those of idle connections, or
+// returns nothing and reports false. It must not use the account for which it is called.
+func (b *Budget) OnFull(reclaim func(size int64) bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.reclaims = append(b.reclaims, reclaim)
+}
+
+// reclaim reports whether size bytes were returned by those that OnFull has added.
+func (b *Budget) reclaim(size int64) bool {
+	b.mutex.Lock()
+	reclaims := b.reclaims
+	b.mutex.Unlock()
+	for _, reclaim := range reclaims {
+		if reclaim(size) {
+			return true
+		}
+	}
+	return false
+}
+
 // available returns a *FullError if the budget has no memory for size more bytes beside the
 // reserve.
 func (b *Budget) available(used, size, reserve int64) error {
@@ -86,6 +111,9 @@
 	for {
 		used := b.used.Load()
 		if err := b.available(used, size, reserve); err != nil {
+			if b.reclaim(used + size - (b.limit - reserve)) {
+				continue
+			}
 			return err
 		}
 		if b.used.CompareAndSwap(used, used+size) {
