ratelimit, serverlimit: a hall without memory for a call is not lost

Callers saw: none yet; with the budget of connections and calls, a hall whose memory is full answers a call for a loan or a limit with 503. Its callers took it for lost: for a second it got no calls for loans, and another hall decided about the limits that it owns, so both granted them. Cause: each error of a call meant that the hall does not answer. Change: failure.IsRefused tells such a refusal. A lender is asked again after 100 ms; an owner's refusal counts as one of the limit, so that the limit keeps its owner. Why it works: the hall answered, so it goes on deciding, and a refused call changed nothing.

--- a/hall/ratelimit/peers.go
+++ b/hall/ratelimit/peers.go
@@ -11,6 +11,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/limit"
 	"limpethall.dev/kernel/wire"
@@ -180,6 +181,11 @@
 		SettledLoans:   bucket.DrainSettled(lender.Name()), NewProgram: priority == NewProgram,
 	})
 	now := p.now()
+	if failure.IsRefused(err) { // It holds the limit as before, and may have memory for the next call.
+		p.refused.Add(1)
+		p.exhausted.Add(loanKey{hall: lender.Name(), workspace: workspace, priority: priority}, now.Add(minRetryAfter))
+		return 0, minRetryAfter, nil
+	}
 	if err != nil {
 		p.failed.Add(1)
 		if ctx.Err() != context.Canceled {
--- a/hall/serverlimit/limiter.go
+++ b/hall/serverlimit/limiter.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
@@ -29,6 +30,9 @@
 	contactPeriod = 2 * time.Second
 	// acquireTimeout bounds one call to another hall.
 	acquireTimeout = 100 * time.Millisecond
+	// refusedRetryDelay is how long a hall that has no memory for a call is not asked for the
+	// same server.
+	refusedRetryDelay = 100 * time.Millisecond
 	// minRate is the rate at which a server with a lower limit still gets requests: only
 	// its responses tell that the limit has changed.
 	minRate = 0.2
@@ -207,7 +211,7 @@
 	defer cancel()
 	if _, err := l.client(hall).Inform(ctx, request); err != nil {
 		l.failed.Add(1)
-		if ctx.Err() != context.Canceled {
+		if ctx.Err() != context.Canceled && !failure.IsRefused(err) {
 			l.markUnreachable(hall.Name(), err)
 		}
 	}
@@ -271,6 +275,13 @@
 		Hall: l.ownName, Server: serverID, MaxWaitMicroseconds: maxWait.Microseconds(), Observation: encodeObservation(time.Now(), observation),
 	})
 	now := time.Now()
+	if failure.IsRefused(err) {
+		// The hall goes on deciding about the limit, so nobody may pass it over.
+		l.lastContact.Store(now.UnixNano())
+		l.markReachable(hall.Name())
+		l.refused.Add(1)
+		return &wire.AcquireReply{WaitMicroseconds: refusedRetryDelay.Microseconds()}, nil
+	}
 	if err != nil {
 		l.failed.Add(1)
 		if ctx.Err() != context.Canceled {
--- a/kernel/failure/twirp.go
+++ b/kernel/failure/twirp.go
@@ -1,6 +1,8 @@
 package failure
 
 import (
+	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -35,3 +37,10 @@
 		retryAfter: time.Duration(retryAfter) * time.Millisecond, ticket: err.Meta(metaTicket),
 	}
 }
+
+// IsRefused reports whether err is that of a Twirp call that a host has refused before it
+// read the call, for lack of memory. The host works and may take the next call.
+func IsRefused(err error) bool {
+	var twirpErr twirp.Error
+	return errors.As(err, &twirpErr) && twirpErr.Meta("status_code") == strconv.Itoa(http.StatusServiceUnavailable)
+}
