--- a/kernel/accept/accept.go
+++ b/kernel/accept/accept.go
@@ -42,6 +42,8 @@
 	// crowdedNumerator and crowdedDenominator are the part of the memory of connections from
 	// which on clients should close theirs.
 	crowdedNumerator, crowdedDenominator = 3, 4
+	// minConnections fit whatever the budget is.
+	minConnections = 8
 	// silentPeriod is how long a new connection may wait for its first request before it is
 	// given up like an idle one.
 	silentPeriod = time.Second
@@ -85,7 +87,7 @@
 
 // New returns a limiter, which the budget asks for the memory of idle connections.
 func New(options Options) *Limiter {
-	limit := options.Memory.Limit() / options.Parts
+	limit := max(options.Memory.Limit()/options.Parts, minConnections*ConnectionBytes)
 	l := &Limiter{options: options, limit: limit, refusals: newRefusals(limit / ConnectionBytes), idle: list.New(), silent: list.New()}
 	options.Memory.OnFull(l.reclaim)
 	return l
