gateway: refuse a turn whose history is known not to fit before keepers read it

Change: the hall remembers the size of the history that ends with the last turn of a program it has served, and refuses a turn that continues this one at once if the history finds no memory. A program that comes from another hall is refused after the reply's header, as before.

Test, red without the change: TestHistoryThatIsKnownNotToFitIsNotFetched ("memory 150000 after r1: got status 200 and 1 turns begun, want 503 and 0").

--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -123,12 +123,12 @@
 	drainEnd      atomic.Pointer[time.Time] // Until when open requests can be served, nil for no limit.
 	lateness      *lateness
 	returns       returnQueue
-	knownPrograms *lru.Cache[string, struct{}] // Programs with a request that this hall sent to a server.
+	knownPrograms *lru.Cache[string, lastTurn] // Programs with a request that this hall sent to a server.
 }
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	knownPrograms, err := lru.New[string, struct{}](knownProgramsSize)
+	knownPrograms, err := lru.New[string, lastTurn](knownProgramsSize)
 	if err != nil {
 		panic(err) // The size is a positive constant.
 	}
@@ -314,7 +314,7 @@
 
 func (h *requestHandler) recordProgram() {
 	if h.request.Program != "" {
-		h.gateway.knownPrograms.Add(h.request.Program, struct{}{})
+		_, _ = h.gateway.knownPrograms.ContainsOrAdd(h.request.Program, lastTurn{})
 	}
 }
 
@@ -383,7 +383,7 @@
 		turn.Retention = max(turn.Retention, minVersionRetention)
 	}
 	if h.route.KeepsHistory && hasTurn {
-		if refusal := h.reserveOutput(); refusal != nil {
+		if refusal := h.reserveTurn(); refusal != nil {
 			return refusal
 		}
 	}
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -145,6 +145,7 @@
 // fakeTurnStore records the calls that end a turn. callsMutex guards calls; it is not a
 // field, so that test tables can hold copies.
 type fakeTurnStore struct {
+	begins    int
 	beginErr  error
 	calls     []string
 	finishErr error
@@ -154,6 +155,9 @@
 
 // Begin implements gateway.TurnStore.
 func (s *fakeTurnStore) Begin(context.Context, turns.Turn) (*turns.ActiveTurn, error) {
+	callsMutex.Lock()
+	s.begins++
+	callsMutex.Unlock()
 	if s.beginErr != nil {
 		return nil, s.beginErr
 	}
--- a/hall/gateway/memory.go
+++ b/hall/gateway/memory.go
@@ -39,16 +39,40 @@
 	return nil
 }
 
-// reserveOutput takes memory for the output of a turn, so that the turn is refused rather than
-// broken off. The output grows beyond that if need be.
-func (h *requestHandler) reserveOutput() *Refusal {
+// lastTurn is the turn of a program that this hall finished last.
+type lastTurn struct {
+	workspace string
+	turn      string
+	bytes     int64 // Of the history that ends with the turn.
+}
+
+// reserveTurn takes memory for the output of a turn, so that the turn is refused rather than
+// broken off. The output grows beyond that if need be. A turn whose history is known not to fit
+// is refused before keepers read it.
+func (h *requestHandler) reserveTurn() *Refusal {
 	expected := min(max(1, h.request.MaxTokens), maxReservedOutput/tokenBytes) * tokenBytes
-	if err := h.output.Reserve(expected); err != nil {
+	err := h.output.Reserve(expected)
+	if last, _ := h.gateway.knownPrograms.Get(h.request.Program); err == nil && last.turn != "" && last.turn == h.request.PreviousTurn && last.workspace == h.workspaceName() {
+		err = h.account.Check(last.bytes)
+	}
+	if err != nil {
 		return refuseRetryable(defaultRetryAfter, "%v", err)
 	}
 	return nil
 }
 
+// recordTurn records the size of the history that the next turn of the program continues.
+func (h *requestHandler) recordTurn() {
+	if h.request.Program == "" {
+		return
+	}
+	bytes := int64(h.output.Len())
+	for _, part := range h.body {
+		bytes += int64(len(part))
+	}
+	h.gateway.knownPrograms.Add(h.request.Program, lastTurn{workspace: h.workspaceName(), turn: h.request.ID, bytes: bytes})
+}
+
 // limitWriting bounds how long a caller that reads slowly, or nothing, makes the hall keep the
 // request.
 func (h *requestHandler) limitWriting() {
--- a/hall/gateway/memory_test.go
+++ b/hall/gateway/memory_test.go
@@ -125,6 +125,32 @@
 	}
 }
 
+// TestHistoryThatIsKnownNotToFitIsNotFetched guards against keepers that read and send a history
+// for which the hall has no memory, each time that the turn is tried again.
+func TestHistoryThatIsKnownNotToFitIsNotFetched(t *testing.T) {
+	f := newFixture(cannedResponse{status: 200, stream: true, body: "data: " + strings.Repeat("x", 100_000) + "\n\n"})
+	if _, aborted := f.sendWithin(t, buffer.NewBudget(1<<20), "/kept/x", "", 100); aborted {
+		t.Fatal("got a stream that was broken off, want a whole one")
+	}
+	f.backend.responses[0].body = "data: x\n\n"
+	for _, test := range []struct {
+		memory     int64
+		previous   string
+		wantStatus int
+		wantBegins int
+	}{
+		{memory: 150_000, previous: "r1", wantStatus: 503},
+		{memory: 150_000, previous: "other", wantStatus: 200, wantBegins: 1},
+		{memory: 250_000, previous: "r1", wantStatus: 200, wantBegins: 1},
+	} {
+		begins := f.turns.begins
+		recorder, _ := f.sendWithin(t, buffer.NewBudget(test.memory), "/kept/x", test.previous, 100)
+		if got, gotBegins := recorder.Code, f.turns.begins-begins; got != test.wantStatus || gotBegins != test.wantBegins {
+			t.Errorf("memory %d after %s: got status %d and %d turns begun, want %d and %d", test.memory, test.previous, got, gotBegins, test.wantStatus, test.wantBegins)
+		}
+	}
+}
+
 // endlessBackend answers with an endless response.
 type endlessBackend struct {
 	fakeBackend
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -186,5 +186,7 @@
 	if err := h.gateway.options.Turns.Finish(ctx, h.turn, h.producedTokens(progress), h.request.Body, progress.output.Bytes()); err != nil {
 		h.abortErr = err
 		h.settleTurn(progress)
+		return
 	}
+	h.recordTurn()
 }
--- a/kernel/buffer/account.go
+++ b/kernel/buffer/account.go
@@ -79,6 +79,20 @@
 	return err
 }
 
+// Check returns a *FullError if Take would refuse memory now. It takes none.
+func (a *Account) Check(size int64) error {
+	if a == nil {
+		return nil
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	err := a.budget.available(a.budget.Used(), size, a.reserve(false))
+	if err != nil {
+		a.budget.refused.Add(1)
+	}
+	return err
+}
+
 // Return returns a part of the memory before the last holder releases the account.
 func (a *Account) Return(size int64) {
 	if a == nil {
