watch: bound the buffered events by their bytes

Callers saw: halls and keepers above their memory limit after some changes of a large configuration. Cause: the watch keeps the last 2,048 events whatever their size: each version of a configuration of 4 MB stays, in both programs. Evidence: TestMemoryOfBufferedEventsIsBounded fails on the code before. Change: events of earlier answers are dropped beyond 1 MB. A subscriber that has seen no event of its prefix moves on with the revision, so that only one that lags behind lists again. Why it works: subscribers read at once; the buffer serves those that are busy for a moment. Measured: the test passes, with the race detector as well.

--- a/kernel/watch/watch.go
+++ b/kernel/watch/watch.go
@@ -36,6 +36,8 @@
 const (
 	// maxBufferedEvents is how many events are kept for watchers that lag behind.
 	maxBufferedEvents = 2048
+	// maxBufferedBytes is how much their values use, but for those of the last answer.
+	maxBufferedBytes = 1 << 20
 	// minPause is the pause after a watch call that returned changes. Without it, each
 	// process would make one call for each change that any other one writes.
 	minPause = 100 * time.Millisecond
@@ -176,6 +178,7 @@
 		if len(changes.Events) > 0 {
 			return changes, nil
 		}
+		after = changes.Revision // Without events up to there, the subscriber misses none that are dropped.
 		changed := s.changed
 		s.mutex.Unlock()
 		timedOut := false
@@ -289,13 +292,27 @@
 // append adds the events of an answer to the buffer. The caller must hold the mutex.
 func (s *Store) append(changes platform.Changes) {
 	s.events = append(s.events, changes.Events...)
-	if excess := len(s.events) - maxBufferedEvents; excess > 0 {
+	if excess := s.excess(len(changes.Events)); excess > 0 {
 		s.afterRevision = s.events[excess-1].Entry.Version
 		s.events = append([]platform.Event(nil), s.events[excess:]...)
 	}
 	s.lastRevision, s.confirmedAt = max(s.lastRevision, changes.Revision), time.Now()
 }
 
+// excess returns how many of the oldest events not to keep, given the number of those that
+// were added last. The caller must hold the mutex.
+func (s *Store) excess(added int) int {
+	excess := max(0, len(s.events)-maxBufferedEvents)
+	size := 0
+	for index := len(s.events) - 1; index >= excess; index-- {
+		size += len(s.events[index].Entry.Key) + len(s.events[index].Entry.Value)
+		if size > maxBufferedBytes && index < len(s.events)-added {
+			return index + 1
+		}
+	}
+	return excess
+}
+
 // record counts the outcome of a watch call. It logs the first failure after an
 // answer and each failure of another kind. The caller must hold the mutex.
 func (s *Store) record(outcome Outcome, err error, took time.Duration) {
--- a/kernel/watch/watch_test.go
+++ b/kernel/watch/watch_test.go
@@ -266,3 +266,53 @@
 		}
 	})
 }
+
+// TestMemoryOfBufferedEventsIsBounded guards against processes whose memory grows with each
+// change of a large value. A subscriber that lags behind lists its prefix instead.
+func TestMemoryOfBufferedEventsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := memory.New(time.Now)
+		store := newStore(service)
+		defer store.Close()
+		value := make([]byte, 700<<10)
+		version := uint64(0)
+		put := func() {
+			t.Helper()
+			value = append([]byte{byte(version)}, value[1:]...)
+			entry, err := service.CompareAndSwap(t.Context(), "op/config", value, version, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			version = entry.Version
+		}
+		put()
+		first := version
+		watched := func(after uint64) (platform.Changes, error) {
+			t.Helper()
+			return store.Watch(t.Context(), "op/", after)
+		}
+		idle := make(chan error, 1)
+		go func() {
+			_, err := store.Watch(t.Context(), "hosts/", first)
+			idle <- err
+		}()
+		for after := first; ; {
+			put()
+			changes, err := watched(after)
+			if err != nil || len(changes.Events) != 1 || changes.Revision != version {
+				t.Fatalf("change at %d: got %d events at %d, %v, want it", version, len(changes.Events), changes.Revision, err)
+			}
+			after = changes.Revision
+			if version == first+4 {
+				break
+			}
+		}
+		if err := <-idle; err != nil {
+			t.Errorf("subscriber of a prefix without changes: got error %v, want none", err)
+		}
+		var gap *platform.GapError
+		if changes, err := watched(first); !errors.As(err, &gap) {
+			t.Errorf("subscriber that lags behind: got %d events, %v, want a GapError", len(changes.Events), err)
+		}
+	})
+}
