platform: bound what the store's answers use together

Callers saw: none; in the soak, a store that answers without an end takes 98 to 116 MB of halls (limit 134 MB) and keepers (154 MB). Cause: each answer was bounded at 16 MB, read through buffers that double; nothing bounded the calls in progress together, about eight of a process. Change: an answer is read whole into a budget of 24 MB for all calls, with room to decode it, and has at most 8 MB, which a configuration of 4 MB in base64 needs. What doesn't fit fails its call as an answer that can't be decoded does: logged by its subscriber, tried again, and the configuration in force stays. The store of the tests takes values of 4 MB, as the target names. Why it works: the sum is bounded, whatever the store sends; small answers always find room.

--- a/kernel/platform/jsoncaller.go
+++ b/kernel/platform/jsoncaller.go
@@ -10,10 +10,18 @@
 	"net/http"
 	"time"
 
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/network"
 )
 
-const maxResponseBytes = 16 << 20
+const (
+	// maxResponseBytes limits one response: a configuration of 4 MB in base64, and what is
+	// sent with it.
+	maxResponseBytes = 8 << 20
+	// responseMemory is the memory for the responses of all calls in progress, as received and
+	// as decoded.
+	responseMemory = 3 * maxResponseBytes
+)
 
 // JSONCaller makes the calls of a Store plug-in for a service with a JSON-over-HTTP
 // API. It never retries a request.
@@ -21,6 +29,7 @@
 	base        string
 	client      *http.Client
 	timeout     time.Duration
+	memory      *buffer.Budget
 	statusError func(call JSONCall, status int) error
 }
 
@@ -32,7 +41,7 @@
 	if dialer != nil {
 		transport.DialContext = dialer.DialContext
 	}
-	return &JSONCaller{base: "http://" + address, client: &http.Client{Transport: transport}, timeout: timeout, statusError: statusError}
+	return &JSONCaller{base: "http://" + address, client: &http.Client{Transport: transport}, timeout: timeout, memory: buffer.NewBudget(responseMemory), statusError: statusError}
 }
 
 // Close closes idle connections.
@@ -59,8 +68,8 @@
 }
 
 // Do makes the call and decodes the body of a response with status 200 into result,
-// which may be nil. It returns an *UnavailableError if there is no response or its
-// body can't be decoded.
+// which may be nil. It returns an *UnavailableError if there is no response, or its body
+// can't be decoded, is too large, or finds no memory beside those of other calls.
 func (c *JSONCaller) Do(ctx context.Context, call JSONCall, result any) error {
 	if call.Timeout <= 0 {
 		call.Timeout = c.timeout
@@ -83,15 +92,29 @@
 		return c.statusError(call, response.StatusCode)
 	}
 	if result == nil {
-		_, err := io.Copy(io.Discard, response.Body)
+		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
 		return err
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(result); err != nil {
+	if err := c.decode(response, result); err != nil {
 		return NewUnavailableError(call.Name, call.Write, err)
 	}
 	return nil
 }
 
+// decode decodes the body of a response in memory that is counted.
+func (c *JSONCaller) decode(response *http.Response, result any) error {
+	account := c.memory.Open(buffer.PriorityStarted)
+	defer account.Release()
+	body, err := account.Read(response.Body, response.ContentLength, maxResponseBytes)
+	if err != nil {
+		return err
+	}
+	if err := account.Take(int64(len(body))); err != nil {
+		return err
+	}
+	return json.Unmarshal(body, result)
+}
+
 // UnexpectedStatus returns the error for a status that the protocol doesn't define.
 // effectUnknown means that the call may have been applied.
 func (call JSONCall) UnexpectedStatus(status int, effectUnknown bool) error {
--- a/kernel/platform/memory/memory.go
+++ b/kernel/platform/memory/memory.go
@@ -22,7 +22,7 @@
 const (
 	// maxEvents is the number of past events available to watches.
 	maxEvents     = 4096
-	maxValueBytes = 1 << 20
+	maxValueBytes = 4 << 20
 	// maxWatchWait is how long a watch waits for changes.
 	maxWatchWait = 2 * time.Second
 )
