relay: count the replies to other hosts

Callers saw: none yet. Each host that the store does not answer may ask for a configuration of 4 MB several times a second, and each reply was encoded without being counted. Cause: only the body of the call is counted. Evidence: TestMemoryOfRepliesIsBounded on the code before: a reply of 1 MB is sent beside another use of half of a budget of 2 MB. Change: a reply takes its size from the account of its call, or the call is refused. Why it works: the account is released when the reply is written; the cached values are shared.

--- a/kernel/relay/relay.go
+++ b/kernel/relay/relay.go
@@ -26,8 +26,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform"
 	"limpethall.dev/kernel/task"
@@ -320,11 +322,27 @@
 func NewServer(store *Store) wire.TwirpServer { return wire.NewRelayServer(server{store: store}) }
 
 // Recall implements wire.Relay.
-func (s server) Recall(_ context.Context, request *wire.RecallRequest) (*wire.RecallReply, error) {
+func (s server) Recall(ctx context.Context, request *wire.RecallRequest) (*wire.RecallReply, error) {
 	listing, known := s.store.cached(request.GetPrefix())
 	reply := &wire.RecallReply{Known: known, Revision: listing.Revision, AgeMilliseconds: listing.Age.Milliseconds()}
+	// The entries are shared with the cache until the reply is encoded.
+	if err := buffer.FromContext(ctx).Take(size(listing)); err != nil {
+		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+	}
 	for _, entry := range listing.Entries {
 		reply.Entries = append(reply.Entries, &wire.StoredEntry{Key: entry.Key, Value: entry.Value, Version: entry.Version})
 	}
 	return reply, nil
 }
+
+// entryBytes is the memory of an entry of a reply beside its key and value.
+const entryBytes = 128
+
+// size returns the memory of a reply with the listing.
+func size(listing platform.Listing) int64 {
+	total := 0
+	for _, entry := range listing.Entries {
+		total += entryBytes + len(entry.Key) + len(entry.Value)
+	}
+	return int64(total)
+}
