keeper: read histories while they are written, and count what calls keep

A keeper with a limit of 154 MB had 307 MB (soak row of 120 programs with bodies of 100 KB): the kernel would have ended it. 3 MB were counted meanwhile.

Only the bytes of a call's message were counted. A history was read, decoded, joined and encoded in memory, three times its size, until a hall had read the last byte, however slowly.

Now the replies to Begin and Find are written turn by turn as they are read from disk: the index knows the size of each turn, so the length of the reply is known first, and a call keeps its largest turn instead of its history. The encoded reply is the same message. If a turn can't be read in the middle, the connection is broken off, which halls take for a failed call as before.

buffer.Handler counts the decoded message, and the account lives until the reply is written; callers must take a reply within callTimeout, so that they can't keep its memory. Finish takes its record and the database's copy, Begin the reservations of the reply. A refusal is the Twirp error "unavailable" (503), in the handler too, so that halls can tell it from a failed keeper. Finish may use the whole budget; a program that has not begun, and copies of other keepers, leave a quarter. The budget is a fifth of the memory instead of an eighth, as it counts all copies now. keeper.go is split, as it grew.

TestSlowReadersOfHistoriesUseBoundedMemory: 250 MB of heap for 40 readers of 4 MB on the former code, of a limit of 50 MB; 7 MB now (32 MB at most with the race detector). The former handler had no limit for TestReplyThatNobodyTakesEnds and did not count for TestCallKeepsMemoryUntilItsReplyIsWritten. TestHistoryIsWhole passes on both.

--- a/keeper/archive/archive.go
+++ b/keeper/archive/archive.go
@@ -219,6 +219,11 @@
 
 // Read returns a copy of the value stored under the key with the given expiry.
 func (a *Archive) Read(key string, expires time.Time) ([]byte, error) {
+	return a.AppendTo(nil, key, expires)
+}
+
+// AppendTo appends the value stored under the key with the given expiry to buffer.
+func (a *Archive) AppendTo(buffer []byte, key string, expires time.Time) ([]byte, error) {
 	end, err := a.begin()
 	if err != nil {
 		return nil, err
@@ -228,8 +233,8 @@
 	if err != nil {
 		return nil, err
 	}
-	clone := append([]byte(nil), value...)
-	return clone, closer.Close()
+	buffer = append(buffer, value...)
+	return buffer, closer.Close()
 }
 
 // Expire removes all buckets that have ended by now.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -74,15 +74,14 @@
 	closeLogInterval = 10 * time.Second
 	// headerTimeout bounds reading the headers of a request.
 	headerTimeout = 5 * time.Second
-	// callTimeout bounds reading the message of a call.
+	// callTimeout bounds reading the message of a call, and writing its reply.
 	callTimeout = 5 * time.Second
 	// maxCallBytes limits the message of a call. It leaves room for a page of records whose
 	// last one is as long as a hall forwards.
 	maxCallBytes = 32 << 20
-	// memoryParts is the part of the process's memory for messages: one of this many. A
-	// decoded message uses several times the memory of its bytes.
-	memoryParts = 8
-	// defaultCallMemory is the memory for messages if that of the process is not limited.
+	// memoryParts is the part of the process's memory for what calls keep: one of this many.
+	memoryParts = 5
+	// defaultCallMemory is the memory for calls if that of the process is not limited.
 	defaultCallMemory = 32 << 20
 )
 
@@ -183,7 +182,7 @@
 	}
 	k.registrar = host.NewRegistrar(options.Store, replication.LivenessPrefix+options.Name, []byte(k.address()), livenessLease, options.Logger)
 	mux := http.NewServeMux()
-	mux.Handle("/", calls.Handler(wire.NewKeeperServer(k), maxCallBytes, callTimeout, options.Logger))
+	mux.Handle("/", calls.Handler(k.historyHandler(wire.NewKeeperServer(k)), buffer.HandlerOptions{MaxBytes: maxCallBytes, Timeout: callTimeout, Priority: priorityOf, Logger: options.Logger}))
 	mux.Handle("/metrics", options.Meters.Handler())
 	k.server = httpserver.New(&http.Server{Handler: recipient.Handler(host.KindKeeper, options.Name, mux), ReadHeaderTimeout: headerTimeout}, options.Logger)
 	return k, nil
@@ -195,8 +194,8 @@
 	return []zap.Field{zap.Int64("callBytes", k.calls.Used()), zap.Int64("callBudget", k.calls.Limit()), zap.Int64("refused", k.calls.Refused()), zap.Int("turns", turns), zap.Int("programs", programs)}
 }
 
-// callMemory returns the memory for the messages of calls in a process with the given
-// memory, zero for no limit.
+// callMemory returns the memory for what calls keep in a process with the given memory,
+// zero for no limit.
 func callMemory(memoryBytes int64) int64 {
 	if memoryBytes == 0 {
 		return defaultCallMemory
@@ -298,76 +297,6 @@
 // Ready reports whether this keeper holds all records that it is a replica for.
 func (k *Keeper) Ready() bool { return k.ledger.Ready() }
 
-// Begin implements wire.Keeper. A hall that selected its keepers by an older list
-// gets the current list instead of a reservation, so that any two quorums in use
-// intersect. A hall with a newer list is asked for its members.
-func (k *Keeper) Begin(ctx context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
-	started := time.Now()
-	reply, err := k.begin(request)
-	k.instruments.record(ctx, "begin", reply.GetVerdict().String(), started, err)
-	return reply, err
-}
-
-func (k *Keeper) begin(request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
-	requested := request.GetKeepers()
-	if len(requested.GetKeepers()) > 0 {
-		k.membership.Adopt(replication.MemberListFromWire(requested))
-	}
-	list := k.membership.List()
-	switch {
-	case requested.GetDigest() == list.Digest():
-	case requested.GetStoreRevision() < list.Revision():
-		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_STALE_LIST, Keepers: list.ToWire(true)}, nil
-	default:
-		// By the hall's list this keeper may be a replica whose records it has not copied.
-		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY, Keepers: list.ToWire(false)}, nil
-	}
-	reply, err := k.ledger.Begin(time.Now(), request)
-	if current := k.membership.List(); err == nil && current.Digest() != list.Digest() {
-		// The records may have been copied by the changed list before the reservation was made.
-		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_STALE_LIST, Keepers: current.ToWire(true)}, nil
-	}
-	return reply, err
-}
-
-// Finish implements wire.Keeper.
-func (k *Keeper) Finish(ctx context.Context, request *wire.FinishTurnRequest) (*wire.FinishTurnReply, error) {
-	started := time.Now()
-	err := k.ledger.Finish(started, request)
-	k.instruments.record(ctx, "finish", "stored", started, err)
-	return &wire.FinishTurnReply{}, err
-}
-
-// Find implements wire.Keeper.
-func (k *Keeper) Find(ctx context.Context, request *wire.FindTurnRequest) (*wire.FindTurnReply, error) {
-	started := time.Now()
-	reply, err := k.ledger.Find(request.GetTurn(), request.GetWorkspace())
-	k.instruments.record(ctx, "find", reply.GetVerdict().String(), started, err)
-	return reply, err
-}
-
-// Copy implements wire.Keeper. The caller's list is adopted first if it is newer:
-// reservations that are missing from the copy are then made by the newer list.
-func (k *Keeper) Copy(_ context.Context, request *wire.CopyRequest) (*wire.CopyReply, error) {
-	list := replication.MemberListFromWire(request.GetKeepers())
-	k.membership.Adopt(list)
-	var wanted [replication.GroupCount]bool
-	for _, group := range request.GetGroups() {
-		wanted[group%replication.GroupCount] = true
-	}
-	return k.ledger.Page(request.GetAfter(), func(placement string) bool { return wanted[replication.GroupOf(placement)] })
-}
-
-// Take implements wire.Keeper.
-func (k *Keeper) Take(_ context.Context, page *wire.CopyReply) (*wire.Empty, error) {
-	return &wire.Empty{}, k.ledger.Merge(time.Now(), page)
-}
-
-// Identify implements wire.Keeper.
-func (k *Keeper) Identify(context.Context, *wire.Empty) (*wire.KeeperEntry, error) {
-	return &wire.KeeperEntry{Name: k.options.Name, Zone: k.options.Zone, Address: k.address()}, nil
-}
-
 // address returns the address at which halls and keepers reach this keeper.
 func (k *Keeper) address() string { return k.listener.Addr().String() }
 
--- a/keeper/ledger/chain.go
+++ b/keeper/ledger/chain.go
@@ -17,7 +17,7 @@
 	var links []link
 	var records []archive.Record
 	for _, link := range l.expiring(id, placement, until) {
-		value, err := l.read(link)
+		value, err := l.read(link, nil)
 		if err != nil {
 			l.noteUnreadable(link.id, err)
 			break
@@ -102,11 +102,11 @@
 	return chain, "", wire.FindVerdict_FIND_VERDICT_FOUND
 }
 
-// read returns the stored value of a turn. It reads again what was stored with another expiry
-// since the link was read from the index.
-func (l *Ledger) read(turn link) ([]byte, error) {
+// read appends the stored value of a turn to buffer. It reads again what was stored with another
+// expiry since the link was read from the index.
+func (l *Ledger) read(turn link, buffer []byte) ([]byte, error) {
 	for {
-		value, err := l.archive.Read(turnPrefix+turn.id, turn.entry.expires)
+		value, err := l.archive.AppendTo(buffer, turnPrefix+turn.id, turn.entry.expires)
 		if err == nil {
 			return value, nil
 		}
@@ -121,7 +121,7 @@
 }
 
 func (l *Ledger) readTurn(turn link) (*wire.Turn, error) {
-	value, err := l.read(turn)
+	value, err := l.read(turn, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/keeper/ledger/copy.go
+++ b/keeper/ledger/copy.go
@@ -111,22 +111,22 @@
 // copied records, together with the other records. The caller must hold merging.
 func (l *Ledger) mergeTurns(now time.Time, turns []*wire.Turn, records []archive.Record) error {
 	turns = l.missing(now, turns)
+	encoded := make([]archive.Record, 0, len(turns))
 	for _, turn := range turns {
 		record, err := encodeTurn(turn, time.UnixMilli(turn.GetExpiresUnixMilliseconds()))
 		if err != nil {
 			return err
 		}
-		records = append(records, record)
+		encoded = append(encoded, record)
 	}
-	if err := l.archive.Store(records...); err != nil {
+	if err := l.archive.Store(append(records, encoded...)...); err != nil {
 		return err
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for _, turn := range turns {
-		expires := time.UnixMilli(turn.GetExpiresUnixMilliseconds())
-		l.addTurn(turn, expires)
-		l.noteGap(turn.GetPrevious(), turn.GetPlacement(), expires)
+	for index, turn := range turns {
+		l.addTurn(turn, encoded[index])
+		l.noteGap(turn.GetPrevious(), turn.GetPlacement(), encoded[index].Expires)
 	}
 	return nil
 }
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -46,13 +46,23 @@
 	workspace string
 	placement string
 	expires   time.Time // Of the record on disk.
+	size      int       // Of the value on disk, in bytes.
+	partsSize int       // Of input and output as parts of a history.
 	// unreadable is set after the record could not be read. It is fetched from another keeper.
 	unreadable bool
 }
 
-// newTurnEntry returns the index entry of a turn.
-func newTurnEntry(turn *wire.Turn, expires time.Time) turnEntry {
-	return turnEntry{previous: turn.GetPrevious(), workspace: turn.GetWorkspace(), placement: turn.GetPlacement(), expires: expires}
+// newTurnEntry returns the index entry of a turn with the given record.
+func newTurnEntry(turn *wire.Turn, record archive.Record) turnEntry {
+	entry := turnEntry{previous: turn.GetPrevious(), workspace: turn.GetWorkspace(), placement: turn.GetPlacement(), expires: record.Expires}
+	entry.setSizes(record.Value)
+	return entry
+}
+
+// setSizes sets the sizes for an encoded turn.
+func (e *turnEntry) setSizes(value []byte) {
+	input, output, _ := partsOf(value) // The value was encoded or decoded before.
+	e.size, e.partsSize = len(value), encodedPartsSize(input, output)
 }
 
 // reservationEntry is the share of a program's budget reserved or spent by one turn.
@@ -108,6 +118,13 @@
 	return len(l.turns), len(l.programs)
 }
 
+// ReservationCount returns the number of reservations of a program.
+func (l *Ledger) ReservationCount(program string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.programs[program])
+}
+
 // SetReady sets whether this keeper holds all records that it is a replica for.
 // The state is stored on disk: after a restart, a keeper lacks only records that
 // it never acknowledged.
@@ -155,16 +172,26 @@
 
 func (l *Ledger) isPending(placement string) bool { return l.pending != nil && l.pending(placement) }
 
-// Begin reserves tokens if they fit into the program's remaining budget, and
-// syncs the reservation to disk. A repeated request gets the same answer as the
-// first and reserves nothing more.
+// Begin is like BeginTurn with the history in the reply.
 func (l *Ledger) Begin(now time.Time, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
+	reply, history, err := l.BeginTurn(now, request)
+	if err != nil || history == nil {
+		return reply, err
+	}
+	reply.History, err = history.Reply()
+	return reply, err
+}
+
+// BeginTurn reserves tokens if they fit into the program's remaining budget, and
+// syncs the reservation to disk. A repeated request gets the same answer as the
+// first and reserves nothing more. The history belongs into the reply, nil for none.
+func (l *Ledger) BeginTurn(now time.Time, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, *History, error) {
 	if !l.Ready() || l.isPending(request.GetReservation().GetProgram()) {
-		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY}, nil
+		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY}, nil, nil
 	}
 	// Checked before a record changes in memory, which would no longer be that on disk.
 	if err := l.archive.Writable(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED, ResumedVersion: l.versionOf(request.GetReservation().GetProgram(), request.GetResumes())}
 	if request.GetReservation() != nil {
@@ -172,22 +199,20 @@
 		reply.SpentTokens = spent
 		if !admitted {
 			reply.Verdict = wire.BeginVerdict_BEGIN_VERDICT_EXHAUSTED
-			return reply, nil
+			return reply, nil, nil
 		}
 		if err := l.archive.Store(records...); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
-	if request.GetPrevious() != "" && request.GetWantHistory() {
-		chain, missing, verdict := l.chain(request.GetPrevious(), request.GetWorkspace())
-		if verdict == wire.FindVerdict_FIND_VERDICT_PARTIAL {
-			return reply, nil // The hall searches for it, as another keeper may have the whole chain.
-		}
-		var err error
-		reply.History, err = l.history(chain, missing, verdict)
-		return reply, err
+	if request.GetPrevious() == "" || !request.GetWantHistory() {
+		return reply, nil, nil
+	}
+	history := l.History(request.GetPrevious(), request.GetWorkspace())
+	if history.Verdict() == wire.FindVerdict_FIND_VERDICT_PARTIAL {
+		return reply, nil, nil // The hall searches for it, as another keeper may have the whole chain.
 	}
-	return reply, nil
+	return reply, history, nil
 }
 
 // Finish settles the reservation and stores the turn, which is synced to disk
@@ -212,28 +237,9 @@
 	return l.storeTurn(now, request.GetTurn(), records)
 }
 
-// Find returns the history up to and including a turn of the workspace. If an earlier turn
-// is missing, it returns the history after that one.
+// Find is like History with the parts in memory.
 func (l *Ledger) Find(turn, workspace string) (*wire.FindTurnReply, error) {
-	return l.history(l.chain(turn, workspace))
-}
-
-// history returns the reply for the result of chain.
-func (l *Ledger) history(chain []link, missing string, verdict wire.FindVerdict) (*wire.FindTurnReply, error) {
-	reply := &wire.FindTurnReply{Verdict: verdict, Missing: missing}
-	if len(chain) == 0 {
-		return reply, nil
-	}
-	for index := len(chain) - 1; index >= 0; index-- {
-		stored, err := l.readTurn(chain[index])
-		if err != nil {
-			l.noteUnreadable(chain[index].id, err)
-			return nil, err
-		}
-		reply.Parts = append(reply.Parts, stored.GetInput(), stored.GetOutput())
-	}
-	reply.Placement = chain[0].entry.placement
-	return reply, nil
+	return l.History(turn, workspace).Reply()
 }
 
 // Expire removes expired records from memory and from disk.
@@ -350,17 +356,17 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.addTurn(turn, record.Expires)
+	l.addTurn(turn, record)
 	return nil
 }
 
 // addTurn adds a stored turn to the index, unless a later expiry of it is known. The caller
 // must hold the mutex.
-func (l *Ledger) addTurn(turn *wire.Turn, expires time.Time) {
-	if entry, found := l.turns[turn.GetId()]; found && !entry.unreadable && entry.expires.After(expires) {
+func (l *Ledger) addTurn(turn *wire.Turn, record archive.Record) {
+	if entry, found := l.turns[turn.GetId()]; found && !entry.unreadable && !entry.expires.Before(record.Expires) {
 		return
 	}
-	l.turns[turn.GetId()] = newTurnEntry(turn, expires)
+	l.turns[turn.GetId()] = newTurnEntry(turn, record)
 	delete(l.gaps, turn.GetId())
 }
 
@@ -373,7 +379,7 @@
 	if !found {
 		return encodeTurn(turn, expires)
 	}
-	value, err := l.read(link{id: turn.GetId(), entry: entry})
+	value, err := l.read(link{id: turn.GetId(), entry: entry}, nil)
 	if err != nil {
 		return encodeTurn(turn, entry.expires)
 	}
@@ -393,7 +399,7 @@
 	case copiedRecord:
 		l.copied = decoded.members
 	case turnRecord:
-		l.turns[decoded.turn.GetId()] = newTurnEntry(decoded.turn, record.Expires)
+		l.turns[decoded.turn.GetId()] = newTurnEntry(decoded.turn, record)
 	case reservationRecord:
 		l.loadReservation(decoded.reservation, record.Expires)
 	}
--- a/keeper/ledger/record.go
+++ b/keeper/ledger/record.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"limpethall.dev/keeper/archive"
@@ -95,6 +96,35 @@
 	return archive.Record{Key: turnPrefix + turn.GetId(), Value: value, Expires: expires}, err
 }
 
+// The fields of wire.Turn that hold the input and the output.
+const (
+	inputField  = 5
+	outputField = 6
+)
+
+// partsOf returns the input and output of an encoded turn, which are parts of it.
+func partsOf(value []byte) (input, output []byte, err error) {
+	for len(value) > 0 {
+		number, kind, length := protowire.ConsumeTag(value)
+		if length < 0 {
+			return nil, nil, protowire.ParseError(length)
+		}
+		value = value[length:]
+		if length = protowire.ConsumeFieldValue(number, kind, value); length < 0 {
+			return nil, nil, protowire.ParseError(length)
+		}
+		content, _ := protowire.ConsumeBytes(value)
+		switch {
+		case kind == protowire.BytesType && number == inputField:
+			input = content
+		case kind == protowire.BytesType && number == outputField:
+			output = content
+		}
+		value = value[length:]
+	}
+	return input, output, nil
+}
+
 // newReservationRecord returns the message of a reservation.
 func newReservationRecord(program, turn string, entry reservationEntry) *wire.Reservation {
 	return &wire.Reservation{
