ledger: extend a chain one turn at a time

A turn that continues a long history made the keeper read the whole chain, and write it as one batch, to give it a later expiry: with 300 turns of 400 KB, 439 MB of live heap for 123 MB of records, and that for each such turn at once. The database keeps a batch of that size in the heap until it is flushed.

Now each turn is read and written by itself, with one buffer, and one chain is extended at a time. Nothing depends on the chain being extended at once: the new turn is synced last, and all that was written before it with it.

--- a/keeper/ledger/chain.go
+++ b/keeper/ledger/chain.go
@@ -11,25 +11,28 @@
 )
 
 // extendChain stores the turns of a chain that would expire before the given time again, with
-// a later expiry. Turns before a missing one are extended when that one has been fetched.
+// a later expiry. Turns before a missing one are extended when that one has been fetched. It
+// keeps one turn in memory at a time, and one chain is extended at a time.
 func (l *Ledger) extendChain(now time.Time, id, placement string, until time.Time) error {
+	links := l.expiring(id, placement, until)
+	if len(links) == 0 {
+		return nil
+	}
+	l.extending.Lock()
+	defer l.extending.Unlock()
 	extended := until.Add(until.Sub(now) * extraRetentionFactor)
-	var links []link
-	var records []archive.Record
-	for _, link := range l.expiring(id, placement, until) {
-		value, err := l.read(link, nil)
-		if err != nil {
+	var value []byte
+	for _, link := range links {
+		var err error
+		if value, err = l.read(link, value[:0]); err != nil {
 			l.noteUnreadable(link.id, err)
 			break
 		}
-		link.entry.expires = extended
-		links = append(links, link)
-		records = append(records, archive.Record{Key: turnPrefix + link.id, Value: value, Expires: extended})
-	}
-	if err := l.archive.StoreNoSync(records...); err != nil {
-		return err
+		if err := l.archive.StoreNoSync(archive.Record{Key: turnPrefix + link.id, Value: value, Expires: extended}); err != nil {
+			return err
+		}
+		l.setExtended(link, extended)
 	}
-	l.setExtended(links)
 	return nil
 }
 
@@ -52,15 +55,14 @@
 	return links
 }
 
-// setExtended adds the new expiry of stored turns to the index.
-func (l *Ledger) setExtended(links []link) {
+// setExtended adds the new expiry of a stored turn to the index.
+func (l *Ledger) setExtended(turn link, expires time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for _, link := range links {
-		if known, found := l.turns[link.id]; !found || known.expires.Before(link.entry.expires) {
-			l.turns[link.id] = link.entry
-			delete(l.gaps, link.id)
-		}
+	if known, found := l.turns[turn.id]; !found || known.expires.Before(expires) {
+		turn.entry.expires = expires
+		l.turns[turn.id] = turn.entry
+		delete(l.gaps, turn.id)
 	}
 }
 
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -82,11 +82,12 @@
 	copied  *wire.KeeperList // As of Open.
 	pending func(placement string) bool
 
-	merging  sync.Mutex // Held while copied turns are stored. It is locked before mutex.
-	mutex    sync.Mutex
-	turns    map[string]turnEntry
-	gaps     map[string]Gap                         // By missing turn.
-	programs map[string]map[string]reservationEntry // By program, then by turn.
+	merging   sync.Mutex // Held while copied turns are stored. It is locked before the others.
+	extending sync.Mutex // Held while a chain is extended. It is locked before mutex.
+	mutex     sync.Mutex
+	turns     map[string]turnEntry
+	gaps      map[string]Gap                         // By missing turn.
+	programs  map[string]map[string]reservationEntry // By program, then by turn.
 }
 
 // Open loads the unexpired records of the archive.
