keeper: count the pages of records that keepers copy

Nothing counted the records that a keeper sends to or receives from others: up to eight pages at once while it catches up, each in memory up to four times, and each as large as its last record.

Now a call of Copy, Fetch or Take takes its page from the budget, whose size the index tells before it is read, and is refused if there is no memory. The keeper's own work (copies, missing turns, transfers) takes from the same budget and waits until there is enough, so that it copies from fewer members while memory is short. It knows the length of a reply before it reads it, and repeats a page that another keeper refuses for memory instead of starting again.

--- a/keeper/calls.go
+++ b/keeper/calls.go
@@ -110,18 +110,26 @@
 
 // Copy implements wire.Keeper. The caller's list is adopted first if it is newer:
 // reservations that are missing from the copy are then made by the newer list.
-func (k *Keeper) Copy(_ context.Context, request *wire.CopyRequest) (*wire.CopyReply, error) {
+func (k *Keeper) Copy(ctx context.Context, request *wire.CopyRequest) (*wire.CopyReply, error) {
 	list := replication.MemberListFromWire(request.GetKeepers())
 	k.membership.Adopt(list)
 	var wanted [replication.GroupCount]bool
 	for _, group := range request.GetGroups() {
 		wanted[group%replication.GroupCount] = true
 	}
-	return k.ledger.Page(request.GetAfter(), func(placement string) bool { return wanted[replication.GroupOf(placement)] })
+	selection := k.ledger.SelectPage(request.GetAfter(), func(placement string) bool { return wanted[replication.GroupOf(placement)] })
+	if err := buffer.FromContext(ctx).Take(k.pageMemory(sentCopies, int64(selection.Size()))); err != nil {
+		return nil, buffer.CallError(err)
+	}
+	return selection.Read()
 }
 
 // Take implements wire.Keeper.
-func (k *Keeper) Take(_ context.Context, page *wire.CopyReply) (*wire.Empty, error) {
+func (k *Keeper) Take(ctx context.Context, page *wire.CopyReply) (*wire.Empty, error) {
+	// The records are encoded, and copied by the database.
+	if err := buffer.FromContext(ctx).Take(k.pageMemory(2, int64(proto.Size(page)))); err != nil {
+		return nil, buffer.CallError(err)
+	}
 	return &wire.Empty{}, k.ledger.Merge(time.Now(), page)
 }
 
--- a/keeper/gaps.go
+++ b/keeper/gaps.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/keeper/ledger"
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/replication"
 	"limpethall.dev/kernel/wire"
 )
@@ -23,9 +24,13 @@
 // Fetch implements wire.Keeper.
 func (k *Keeper) Fetch(ctx context.Context, request *wire.FetchRequest) (*wire.CopyReply, error) {
 	started := time.Now()
-	reply, err := k.ledger.Fetch(request.GetTurns())
+	var reply *wire.CopyReply
+	err := buffer.FromContext(ctx).Take(k.pageMemory(sentCopies, int64(k.ledger.FetchSize(request.GetTurns()))))
+	if err == nil {
+		reply, err = k.ledger.Fetch(request.GetTurns())
+	}
 	k.instruments.record(ctx, "fetch", "answered", started, err)
-	return reply, err
+	return reply, buffer.CallError(err)
 }
 
 // fillGaps fetches from the other members the turns that stored turns continue, but that
@@ -99,23 +104,18 @@
 
 // fetchTurns fetches from one member those of the missing turns that it has.
 func (k *Keeper) fetchTurns(ctx context.Context, source replication.Keeper, gaps []ledger.Gap) error {
-	client := k.clientOf(source)
 	for batch := range slices.Chunk(gaps, maxFetchedTurns) {
 		request := &wire.FetchRequest{}
 		for _, gap := range batch {
 			request.Turns = append(request.Turns, gap.Turn())
 		}
 		for len(request.Turns) > 0 {
-			reply, err := k.fetchTurnsOnce(ctx, client, request)
+			reply, err := k.fetchSome(ctx, source, request)
 			if err != nil {
-				k.transport.CloseIdleConnections()
-				return err
-			}
-			if err := k.ledger.FillGaps(time.Now(), reply.GetTurns()); err != nil {
 				return err
 			}
-			next := slices.Index(request.GetTurns(), string(reply.GetNext()))
-			if !reply.GetReady() && len(reply.GetTurns()) < len(request.GetTurns()) {
+			next := slices.Index(request.GetTurns(), reply.next)
+			if !reply.ready && reply.count < len(request.GetTurns()) {
 				return errMemberNotReady
 			}
 			if next <= 0 {
@@ -127,6 +127,34 @@
 	return nil
 }
 
+// fetchedTurns tells what a member has sent of the missing turns.
+type fetchedTurns struct {
+	count int
+	ready bool   // Whether the member has all turns that it is a replica for.
+	next  string // The first turn that did not fit into the reply, empty for none.
+}
+
+// fetchSome fetches and stores those of the missing turns that one reply has.
+func (k *Keeper) fetchSome(ctx context.Context, source replication.Keeper, request *wire.FetchRequest) (fetchedTurns, error) {
+	account := k.calls.Open(buffer.PriorityNew)
+	defer account.Release()
+	if err := k.waitForPage(ctx, account, receivedCopies, usualPageBytes); err != nil {
+		return fetchedTurns{}, err
+	}
+	client := k.countingClientOf(source, account)
+	var reply *wire.CopyReply
+	err := k.retryRefused(ctx, func() (err error) {
+		reply, err = k.fetchTurnsOnce(ctx, client, request)
+		return err
+	})
+	if err != nil {
+		k.transport.CloseIdleConnections()
+		return fetchedTurns{}, err
+	}
+	fetched := fetchedTurns{count: len(reply.GetTurns()), ready: reply.GetReady(), next: string(reply.GetNext())}
+	return fetched, k.ledger.FillGaps(time.Now(), reply.GetTurns())
+}
+
 func (k *Keeper) fetchTurnsOnce(ctx context.Context, client wire.Keeper, request *wire.FetchRequest) (*wire.CopyReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
--- a/keeper/ledger/gap.go
+++ b/keeper/ledger/gap.go
@@ -62,7 +62,7 @@
 			reply.Next = []byte(turn)
 			return reply, nil
 		}
-		added, err := l.addToPage(reply, turnPrefix+turn)
+		added, err := l.addToPage(reply, recordName{turn: turn, isTurn: true})
 		if err != nil {
 			return nil, err
 		}
@@ -71,6 +71,20 @@
 	return reply, nil
 }
 
+// FetchSize returns the approximate size of Fetch's reply in bytes.
+func (l *Ledger) FetchSize(turns []string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	size := 0
+	for _, turn := range turns {
+		if size >= pageBytes {
+			break
+		}
+		size += l.turns[turn].size
+	}
+	return size
+}
+
 // FillGaps adds fetched turns that are still missing and syncs them to disk. They and the
 // turns before them are kept for as long as the chain needs them.
 func (l *Ledger) FillGaps(now time.Time, turns []*wire.Turn) error {
--- a/keeper/replication.go
+++ b/keeper/replication.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/replication"
 	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
@@ -179,25 +180,40 @@
 
 // copyFrom copies the records of the groups from one member.
 func (k *Keeper) copyFrom(ctx context.Context, source replication.Keeper, list *replication.MemberList, groups []replication.Group) error {
-	client := k.clientOf(source)
 	request := &wire.CopyRequest{Keeper: k.options.Name, Keepers: list.ToWire(true)}
 	for _, group := range groups {
 		request.Groups = append(request.Groups, uint32(group))
 	}
 	for {
-		page, err := k.fetchPage(ctx, client, request)
+		next, err := k.copyPage(ctx, source, request)
 		if err != nil {
 			k.transport.CloseIdleConnections()
 			return err
 		}
-		if err := k.ledger.Merge(time.Now(), page); err != nil {
-			return err
-		}
-		if len(page.GetNext()) == 0 {
+		if len(next) == 0 {
 			return nil
 		}
-		request.After = page.GetNext()
+		request.After = next
+	}
+}
+
+// copyPage copies one page and returns the cursor of the following one, nil after the last.
+func (k *Keeper) copyPage(ctx context.Context, source replication.Keeper, request *wire.CopyRequest) (next []byte, err error) {
+	account := k.calls.Open(buffer.PriorityNew)
+	defer account.Release()
+	if err := k.waitForPage(ctx, account, receivedCopies, usualPageBytes); err != nil {
+		return nil, err
+	}
+	client := k.countingClientOf(source, account)
+	var page *wire.CopyReply
+	err = k.retryRefused(ctx, func() (err error) {
+		page, err = k.fetchPage(ctx, client, request)
+		return err
+	})
+	if err != nil {
+		return nil, err
 	}
+	return page.GetNext(), k.ledger.Merge(time.Now(), page)
 }
 
 func (k *Keeper) fetchPage(ctx context.Context, client wire.Keeper, request *wire.CopyRequest) (*wire.CopyReply, error) {
@@ -298,18 +314,30 @@
 	client := k.clientOf(target)
 	var after []byte
 	for {
-		page, err := k.ledger.Page(after, func(placement string) bool { return groups[replication.GroupOf(placement)] })
+		next, err := k.transferPage(ctx, client, after, groups)
 		if err != nil {
 			return err
 		}
-		if err := k.sendPage(ctx, client, page); err != nil {
-			return err
-		}
-		if len(page.GetNext()) == 0 {
+		if len(next) == 0 {
 			return nil
 		}
-		after = page.GetNext()
+		after = next
+	}
+}
+
+// transferPage sends one page and returns the cursor of the following one, nil after the last.
+func (k *Keeper) transferPage(ctx context.Context, client wire.Keeper, after []byte, groups map[replication.Group]bool) (next []byte, err error) {
+	selection := k.ledger.SelectPage(after, func(placement string) bool { return groups[replication.GroupOf(placement)] })
+	account := k.calls.Open(buffer.PriorityNew)
+	defer account.Release()
+	if err := k.waitForPage(ctx, account, sentCopies, int64(selection.Size())); err != nil {
+		return nil, err
+	}
+	page, err := selection.Read()
+	if err != nil {
+		return nil, err
 	}
+	return page.GetNext(), k.retryRefused(ctx, func() error { return k.sendPage(ctx, client, page) })
 }
 
 func (k *Keeper) sendPage(ctx context.Context, client wire.Keeper, page *wire.CopyReply) error {
