buffer: read the result of a step that has run while there is memory

A keeper refused a finished turn of 20 KB while a quarter of its budget was free: bodies above 16 KB leave a quarter to small ones, of all priorities. A turn that has run can't be repeated without harm, so it should be refused last.

PriorityFinished leaves nothing, large or not; keepers use it for Finish.

TestCopiesLeaveMemoryToFinishedTurns fails before ("no memory for the request: 20033 bytes wanted, 1678552 of 1500000 in use", of 2,000,000), and guards the order of refusals: copies of other keepers first.

--- a/keeper/calls.go
+++ b/keeper/calls.go
@@ -23,7 +23,7 @@
 func priorityOf(r *http.Request) buffer.Priority {
 	switch path.Base(r.URL.Path) {
 	case "Finish", "Identify":
-		return buffer.PriorityStarted
+		return buffer.PriorityFinished
 	case "Copy", "Take", "Fetch":
 		return buffer.PriorityNew
 	default:
--- a/keeper/memory_test.go
+++ b/keeper/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -205,3 +207,28 @@
 	}
 	return membership.List().ToWire(true)
 }
+
+// TestCopiesLeaveMemoryToFinishedTurns guards against copies that other keepers will repeat, and
+// that take the memory of turns that can't be repeated.
+func TestCopiesLeaveMemoryToFinishedTurns(t *testing.T) {
+	address, store := startKeeper(t, 10_000_000)
+	client := wire.NewKeeperProtobufClient("http://"+address, http.DefaultClient)
+	defer http.DefaultClient.CloseIdleConnections()
+	last := storeChain(t, client, "p", 20, 400_000)
+	request := &wire.CopyRequest{Keeper: "other", Keepers: keeperList(t, store)}
+	for group := range uint32(replication.GroupCount) {
+		request.Groups = append(request.Groups, group)
+	}
+	if reply, err := client.Copy(t.Context(), request); err != nil || len(reply.GetTurns()) == 0 {
+		t.Errorf("copy while memory is free: got %d turns and error %v, want some", len(reply.GetTurns()), err)
+	}
+	for range 10 {
+		callWithoutReading(t, address, "Find", &wire.FindTurnRequest{Turn: last, Workspace: "w"})
+	}
+	time.Sleep(500 * time.Millisecond)
+	var refused twirp.Error
+	if _, err := client.Copy(t.Context(), request); !errors.As(err, &refused) || refused.Code() != twirp.Unavailable {
+		t.Errorf("copy while histories use the memory: got error %v, want %s", err, twirp.Unavailable)
+	}
+	storeChain(t, client, "q", 3, 20_000)
+}
--- a/kernel/buffer/account.go
+++ b/kernel/buffer/account.go
@@ -19,6 +19,8 @@
 	PriorityRunning
 	// PriorityStarted is for a step that runs already.
 	PriorityStarted
+	// PriorityFinished is for the result of a step that has run. Also a large one leaves nothing.
+	PriorityFinished
 )
 
 // reserve returns what accounts of the priority leave of a budget.
@@ -165,7 +167,7 @@
 // reserve returns what the account leaves of its budget. The caller holds the mutex.
 func (a *Account) reserve(large bool) int64 {
 	reserve := a.priority.reserve(a.budget.limit)
-	if large {
+	if large && a.priority != PriorityFinished {
 		reserve += a.budget.limit / largeReserveParts
 	}
 	return reserve
--- a/kernel/buffer/wait_test.go
+++ b/kernel/buffer/wait_test.go
@@ -1,6 +1,7 @@
 package buffer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"testing"
@@ -43,3 +44,20 @@
 		}
 	})
 }
+
+// TestLargeResultsAreReadLast guards against the results of steps that have run, which are
+// refused although there is memory for them.
+func TestLargeResultsAreReadLast(t *testing.T) {
+	const limit, size = 1 << 20, 40 << 10
+	for priority, wantRead := range map[buffer.Priority]bool{buffer.PriorityStarted: false, buffer.PriorityFinished: true} {
+		budget := buffer.NewBudget(limit)
+		other := budget.Open(buffer.PriorityStarted)
+		if err := other.Take(limit * 7 / 8); err != nil {
+			t.Fatal(err)
+		}
+		_, err := budget.Open(priority).Read(bytes.NewReader(make([]byte, size)), size, limit)
+		if got := err == nil; got != wantRead {
+			t.Errorf("priority %d: got error %v, want it read: %t", priority, err, wantRead)
+		}
+	}
+}
