ledger: count the index of turns and bound it

The index of stored turns and reservations grew with the records on disk without a bound, and nothing told its size: small records for some minutes would have had a keeper of 154 MB ended by the kernel.

Its memory is now estimated as entries are added and removed, and uses at most a fifth of MemoryMb. Above three quarters of that, programs that have not begun are refused at once with 503; above seven eighths, turns of running programs; only a full index refuses turns that have run, and pages of other keepers. What is on disk is served in any case, and all is served again as records expire. A log line every 10 s and two gauges tell it. Entries are smaller: times as integers, the workspace stored once, the placement once for a chain.

TestEstimateCoversIndex: 120,000 turns take 29 to 30 MB of heap, estimated at 34 and 36 MB, at the count at which the maps are used least (100,000 turns took 21 MB before entries were made smaller by their placement, 18 MB now). TestFullIndexRefusesNewProgramsFirst guards the order of refusals, and that the index recovers; nothing refused before.

Not covered: a program without a budget calls no keeper before its first turn has run, so that one is refused only by a full index.

--- a/keeper/calls.go
+++ b/keeper/calls.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"path"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
 	"limpethall.dev/keeper/ledger"
@@ -31,6 +33,16 @@
 	}
 }
 
+// callError returns the error with which a call is refused that finds no memory. Other errors
+// are returned unchanged.
+func callError(err error) error {
+	var full *ledger.IndexFullError
+	if errors.As(err, &full) {
+		return twirp.NewError(twirp.Unavailable, full.Error())
+	}
+	return buffer.CallError(err)
+}
+
 // Begin implements wire.Keeper. Calls from halls are answered by historyHandler instead, which
 // does not keep the history in memory.
 func (k *Keeper) Begin(ctx context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
@@ -39,7 +51,7 @@
 		return reply, err
 	}
 	if err := buffer.FromContext(ctx).Take(2 * int64(history.Size())); err != nil {
-		return nil, buffer.CallError(err)
+		return nil, callError(err)
 	}
 	reply.History, err = history.Reply()
 	return reply, err
@@ -50,7 +62,7 @@
 // intersect. A hall with a newer list is asked for its members.
 func (k *Keeper) begin(ctx context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, *ledger.History, error) {
 	if err := k.takeForBegin(buffer.FromContext(ctx), request); err != nil {
-		return nil, nil, buffer.CallError(err)
+		return nil, nil, callError(err)
 	}
 	requested := request.GetKeepers()
 	if len(requested.GetKeepers()) > 0 {
@@ -66,11 +78,14 @@
 		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY, Keepers: list.ToWire(false)}, nil, nil
 	}
 	reply, history, err := k.ledger.BeginTurn(time.Now(), request)
-	if current := k.membership.List(); err == nil && current.Digest() != list.Digest() {
+	if err != nil {
+		return nil, nil, callError(err)
+	}
+	if current := k.membership.List(); current.Digest() != list.Digest() {
 		// The records may have been copied by the changed list before the reservation was made.
 		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_STALE_LIST, Keepers: current.ToWire(true)}, nil, nil
 	}
-	return reply, history, err
+	return reply, history, nil
 }
 
 // takeForBegin takes the memory that a turn needs here before anything is reserved for it. A
@@ -96,14 +111,14 @@
 		err = k.ledger.Finish(started, request)
 	}
 	k.instruments.record(ctx, "finish", "stored", started, err)
-	return &wire.FinishTurnReply{}, buffer.CallError(err)
+	return &wire.FinishTurnReply{}, callError(err)
 }
 
 // Find implements wire.Keeper. Calls from halls are answered by historyHandler instead.
 func (k *Keeper) Find(ctx context.Context, request *wire.FindTurnRequest) (*wire.FindTurnReply, error) {
 	history := k.ledger.History(request.GetTurn(), request.GetWorkspace())
 	if err := buffer.FromContext(ctx).Take(2*int64(history.Size()) + history.Memory()); err != nil {
-		return nil, buffer.CallError(err)
+		return nil, callError(err)
 	}
 	return history.Reply()
 }
@@ -119,7 +134,7 @@
 	}
 	selection := k.ledger.SelectPage(request.GetAfter(), func(placement string) bool { return wanted[replication.GroupOf(placement)] })
 	if err := buffer.FromContext(ctx).Take(k.pageMemory(sentCopies, int64(selection.Size()))); err != nil {
-		return nil, buffer.CallError(err)
+		return nil, callError(err)
 	}
 	return selection.Read()
 }
@@ -128,9 +143,9 @@
 func (k *Keeper) Take(ctx context.Context, page *wire.CopyReply) (*wire.Empty, error) {
 	// The records are encoded, and copied by the database.
 	if err := buffer.FromContext(ctx).Take(k.pageMemory(2, int64(proto.Size(page)))); err != nil {
-		return nil, buffer.CallError(err)
+		return nil, callError(err)
 	}
-	return &wire.Empty{}, k.ledger.Merge(time.Now(), page)
+	return &wire.Empty{}, callError(k.ledger.Merge(time.Now(), page))
 }
 
 // Identify implements wire.Keeper.
--- a/keeper/gaps.go
+++ b/keeper/gaps.go
@@ -30,7 +30,7 @@
 		reply, err = k.ledger.Fetch(request.GetTurns())
 	}
 	k.instruments.record(ctx, "fetch", "answered", started, err)
-	return reply, buffer.CallError(err)
+	return reply, callError(err)
 }
 
 // fillGaps fetches from the other members the turns that stored turns continue, but that
--- a/keeper/histories.go
+++ b/keeper/histories.go
@@ -75,7 +75,7 @@
 func (c *findCall) execute(ctx context.Context, k *Keeper) (string, []byte, *ledger.History, error) {
 	history := k.ledger.History(c.request.GetTurn(), c.request.GetWorkspace())
 	err := buffer.FromContext(ctx).Take(history.Memory())
-	return history.Verdict().String(), nil, history, buffer.CallError(err)
+	return history.Verdict().String(), nil, history, callError(err)
 }
 
 func (k *Keeper) answer(w http.ResponseWriter, r *http.Request, call historyCall) {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -81,6 +81,10 @@
 	maxCallBytes = 32 << 20
 	// memoryParts is the part of the process's memory for what calls keep: one of this many.
 	memoryParts = 5
+	// indexParts is the part of the process's memory for the index of turns: one of this many.
+	// What calls keep, the index and the garbage of both fit into the heap that the process may
+	// use; the executable and the database take about 36 MB beside it.
+	indexParts = 5
 	// defaultCallMemory is the memory for calls if that of the process is not limited.
 	defaultCallMemory = 32 << 20
 )
@@ -155,6 +159,7 @@
 	}
 	loaded, _ := ledgers.Load(disk)
 	records := loaded.(*ledger.Ledger)
+	records.SetIndexLimit(options.MemoryBytes / indexParts)
 	calls := buffer.NewBudget(callMemory(options.MemoryBytes))
 	instruments, err := newInstruments(options.Meters.Meter(), records, options.Network, calls)
 	if err != nil {
@@ -191,7 +196,7 @@
 // memoryFields tells what the keeper knows of its memory.
 func (k *Keeper) memoryFields() []zap.Field {
 	turns, programs := k.ledger.Counts()
-	return []zap.Field{zap.Int64("callBytes", k.calls.Used()), zap.Int64("callBudget", k.calls.Limit()), zap.Int64("refused", k.calls.Refused()), zap.Int("turns", turns), zap.Int("programs", programs)}
+	return []zap.Field{zap.Int64("callBytes", k.calls.Used()), zap.Int64("callBudget", k.calls.Limit()), zap.Int64("refused", k.calls.Refused()), zap.Int("turns", turns), zap.Int("programs", programs), zap.Int64("indexBytes", k.ledger.IndexBytes())}
 }
 
 // callMemory returns the memory for what calls keep in a process with the given memory,
--- a/keeper/ledger/chain.go
+++ b/keeper/ledger/chain.go
@@ -47,7 +47,7 @@
 			l.noteGap(id, placement, until)
 			break
 		}
-		if entry.expires.Before(until) {
+		if entry.expires().Before(until) {
 			links = append(links, link{id: id, entry: entry})
 		}
 		id = entry.previous
@@ -59,9 +59,9 @@
 func (l *Ledger) setExtended(turn link, expires time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if known, found := l.turns[turn.id]; !found || known.expires.Before(expires) {
-		turn.entry.expires = expires
-		l.turns[turn.id] = turn.entry
+	if known, found := l.turns[turn.id]; !found || known.expires().Before(expires) {
+		turn.entry.setExpires(expires)
+		l.setTurn(turn.id, turn.entry)
 		delete(l.gaps, turn.id)
 	}
 }
@@ -89,13 +89,13 @@
 			return nil, "", wire.FindVerdict_FIND_VERDICT_UNCERTAIN
 		case !found:
 			return chain, id, wire.FindVerdict_FIND_VERDICT_PARTIAL
-		case entry.workspace != workspace:
+		case entry.workspace() != workspace:
 			return nil, "", wire.FindVerdict_FIND_VERDICT_FOREIGN
 		case entry.unreadable && id == turn:
-			l.noteGap(id, entry.placement, entry.expires)
+			l.noteGap(id, entry.placement, entry.expires())
 			return nil, "", wire.FindVerdict_FIND_VERDICT_UNCERTAIN
 		case entry.unreadable:
-			l.noteGap(id, entry.placement, entry.expires)
+			l.noteGap(id, entry.placement, entry.expires())
 			return chain, id, wire.FindVerdict_FIND_VERDICT_PARTIAL
 		}
 		chain = append(chain, link{id: id, entry: entry})
@@ -108,14 +108,14 @@
 // expiry since the link was read from the index.
 func (l *Ledger) read(turn link, buffer []byte) ([]byte, error) {
 	for {
-		value, err := l.archive.AppendTo(buffer, turnPrefix+turn.id, turn.entry.expires)
+		value, err := l.archive.AppendTo(buffer, turnPrefix+turn.id, turn.entry.expires())
 		if err == nil {
 			return value, nil
 		}
 		l.mutex.Lock()
 		entry, found := l.turns[turn.id]
 		l.mutex.Unlock()
-		if !found || !entry.expires.After(turn.entry.expires) {
+		if !found || !entry.expires().After(turn.entry.expires()) {
 			return nil, err
 		}
 		turn.entry = entry
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	decoded, err := decodeRecord(archive.Record{Key: turnPrefix + turn.id, Value: value, Expires: turn.entry.expires})
+	decoded, err := decodeRecord(archive.Record{Key: turnPrefix + turn.id, Value: value, Expires: turn.entry.expires()})
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +141,7 @@
 	if !found || !entry.unreadable {
 		return entry, found
 	}
-	if _, err := l.archive.Read(turnPrefix+id, entry.expires); err != nil {
+	if _, err := l.archive.Read(turnPrefix+id, entry.expires()); err != nil {
 		return entry, true
 	}
 	entry.unreadable = false
@@ -164,5 +164,5 @@
 	l.logger.Error("failed to read stored turn", zap.String("turn", id), zap.Error(err))
 	entry.unreadable = true
 	l.turns[id] = entry
-	l.noteGap(id, entry.placement, entry.expires)
+	l.noteGap(id, entry.placement, entry.expires())
 }
--- a/keeper/ledger/copy.go
+++ b/keeper/ledger/copy.go
@@ -17,8 +17,8 @@
 // record that reaches it.
 const pageBytes = 512 << 10
 
-// reservationBytes is the size of a reservation on a page beside its names.
-const reservationBytes = 64
+// pageReservationBytes is the size of a reservation on a page beside its names.
+const pageReservationBytes = 64
 
 // recordName names a record of the index. Names are ordered like the keys of their records.
 type recordName struct {
@@ -80,13 +80,13 @@
 		}
 		for turn := range reservations {
 			if name := (recordName{program: program, turn: turn}); name.compare(first) > 0 {
-				s.add(selectedName{recordName: name, size: len(program) + len(turn) + reservationBytes})
+				s.add(selectedName{recordName: name, size: len(program) + len(turn) + pageReservationBytes})
 			}
 		}
 	}
 	for id, entry := range l.turns {
 		if name := (recordName{turn: id, isTurn: true}); name.compare(first) > 0 && include(entry.placement) {
-			s.add(selectedName{recordName: name, size: entry.size})
+			s.add(selectedName{recordName: name, size: int(entry.size)})
 		}
 	}
 	slices.SortFunc(s.names, func(a, b selectedName) int { return a.compare(b.recordName) })
@@ -182,6 +182,9 @@
 	if err := l.archive.Writable(); err != nil {
 		return err
 	}
+	if err := l.hasRoom(0); err != nil {
+		return err
+	}
 	l.merging.Lock()
 	defer l.merging.Unlock()
 	var records []archive.Record
--- a/keeper/ledger/gap.go
+++ b/keeper/ledger/gap.go
@@ -80,7 +80,7 @@
 		if size >= pageBytes {
 			break
 		}
-		size += l.turns[turn].size
+		size += int(l.turns[turn].size)
 	}
 	return size
 }
--- a/keeper/ledger/history.go
+++ b/keeper/ledger/history.go
@@ -43,7 +43,7 @@
 func (h *History) Memory() int64 {
 	largest := 0
 	for _, turn := range h.chain {
-		largest = max(largest, turn.entry.size)
+		largest = max(largest, int(turn.entry.size))
 	}
 	return int64(largest + linkBytes*len(h.chain))
 }
@@ -52,7 +52,7 @@
 func (h *History) Size() int {
 	size := proto.Size(h.head())
 	for _, turn := range h.chain {
-		size += turn.entry.partsSize
+		size += int(turn.entry.partsSize)
 	}
 	return size
 }
@@ -74,7 +74,7 @@
 		if err != nil {
 			return err
 		}
-		if encodedPartsSize(input, output) != h.chain[index].entry.partsSize {
+		if encodedPartsSize(input, output) != int(h.chain[index].entry.partsSize) {
 			h.ledger.correctSizes(h.chain[index].id, buffer)
 			return errChanged
 		}
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -16,7 +16,6 @@
 package ledger
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,39 +39,6 @@
 // noExpiry is the expiry time of records that are never removed.
 var noExpiry = time.Unix(1<<40, 0)
 
-// turnEntry is the in-memory index entry of a stored turn.
-type turnEntry struct {
-	previous  string
-	workspace string
-	placement string
-	expires   time.Time // Of the record on disk.
-	size      int       // Of the value on disk, in bytes.
-	partsSize int       // Of input and output as parts of a history.
-	// unreadable is set after the record could not be read. It is fetched from another keeper.
-	unreadable bool
-}
-
-// newTurnEntry returns the index entry of a turn with the given record.
-func newTurnEntry(turn *wire.Turn, record archive.Record) turnEntry {
-	entry := turnEntry{previous: turn.GetPrevious(), workspace: turn.GetWorkspace(), placement: turn.GetPlacement(), expires: record.Expires}
-	entry.setSizes(record.Value)
-	return entry
-}
-
-// setSizes sets the sizes for an encoded turn.
-func (e *turnEntry) setSizes(value []byte) {
-	input, output, _ := partsOf(value) // The value was encoded or decoded before.
-	e.size, e.partsSize = len(value), encodedPartsSize(input, output)
-}
-
-// reservationEntry is the share of a program's budget reserved or spent by one turn.
-type reservationEntry struct {
-	tokens  int64
-	settled bool
-	version *string   // Software version of the turn's backend servers, nil if unknown.
-	expires time.Time // Of the record on disk.
-}
-
 // Ledger indexes the turns and reservations of an archive. It is safe for
 // concurrent use.
 type Ledger struct {
@@ -81,18 +47,18 @@
 	ready   atomic.Bool
 	copied  *wire.KeeperList // As of Open.
 	pending func(placement string) bool
+	// refusedAt is when a refusal for the memory of the index was logged, in Unix nanoseconds.
+	refusedAt atomic.Int64
 
 	merging   sync.Mutex // Held while copied turns are stored. It is locked before the others.
 	extending sync.Mutex // Held while a chain is extended. It is locked before mutex.
 	mutex     sync.Mutex
-	turns     map[string]turnEntry
-	gaps      map[string]Gap                         // By missing turn.
-	programs  map[string]map[string]reservationEntry // By program, then by turn.
+	index
 }
 
 // Open loads the unexpired records of the archive.
 func Open(disk *archive.Archive, now time.Time, logger *zap.Logger) (*Ledger, error) {
-	l := &Ledger{archive: disk, logger: logger, turns: make(map[string]turnEntry), gaps: make(map[string]Gap), programs: make(map[string]map[string]reservationEntry)}
+	l := &Ledger{archive: disk, logger: logger, index: newIndex()}
 	_, err := disk.Scan(nil, func(record archive.Record) bool {
 		if record.Expires.After(now) {
 			l.load(record)
@@ -100,7 +66,7 @@
 		return true
 	})
 	for _, entry := range l.turns {
-		l.noteGap(entry.previous, entry.placement, entry.expires)
+		l.noteGap(entry.previous, entry.placement, entry.expires())
 	}
 	return l, err
 }
@@ -195,6 +161,9 @@
 		return nil, nil, err
 	}
 	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED, ResumedVersion: l.versionOf(request.GetReservation().GetProgram(), request.GetResumes())}
+	if err := l.hasRoom(l.reserveFor(request)); err != nil {
+		return nil, nil, err
+	}
 	if request.GetReservation() != nil {
 		spent, admitted, records := l.reserve(now, request, reply)
 		reply.SpentTokens = spent
@@ -223,6 +192,11 @@
 	if err := l.archive.Writable(); err != nil {
 		return err
 	}
+	if request.GetTurn() != nil {
+		if err := l.hasRoom(0); err != nil {
+			return err
+		}
+	}
 	var records []archive.Record
 	l.mutex.Lock()
 	if reservation := request.GetReservation(); reservation.GetProgram() != "" {
@@ -246,22 +220,7 @@
 // Expire removes expired records from memory and from disk.
 func (l *Ledger) Expire(now time.Time) error {
 	l.mutex.Lock()
-	for id, entry := range l.turns {
-		if entry.expires.Before(now) {
-			delete(l.turns, id)
-		}
-	}
-	maps.DeleteFunc(l.gaps, func(_ string, gap Gap) bool { return gap.expires.Before(now) })
-	for program, reservations := range l.programs {
-		for turn, entry := range reservations {
-			if entry.expires.Before(now) {
-				delete(reservations, turn)
-			}
-		}
-		if len(reservations) == 0 {
-			delete(l.programs, program)
-		}
-	}
+	l.expire(now)
 	l.mutex.Unlock()
 	return l.archive.Expire(now)
 }
@@ -271,7 +230,7 @@
 func (l *Ledger) versionOf(program, turn string) *string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.programs[program][turn].version
+	return l.programs[program][turn].version()
 }
 
 // reserve adds the reservation if it fits into the budget, if any. The program's other
@@ -289,7 +248,7 @@
 		}
 		spent += entry.tokens
 		if request.GetWantReservations() {
-			reply.Reservations = append(reply.Reservations, &wire.Reservation{Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version})
+			reply.Reservations = append(reply.Reservations, &wire.Reservation{Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version()})
 		}
 	}
 	if request.GetBudget() > 0 && spent+reservation.GetTokens() > request.GetBudget() {
@@ -298,8 +257,8 @@
 	records = l.putOrRepeatReservation(reservation)
 	expires := time.UnixMilli(reservation.GetExpiresUnixMilliseconds())
 	for turn, entry := range entries {
-		if entry.expires.Before(expires) {
-			entry.expires = expires.Add(expires.Sub(now) * extraRetentionFactor)
+		if entry.expires().Before(expires) {
+			entry.setExpires(expires.Add(expires.Sub(now) * extraRetentionFactor))
 			entries[turn] = entry
 			records = append(records, encodeReservation(reservation.GetProgram(), turn, entry))
 		}
@@ -320,24 +279,17 @@
 // putReservation adds or settles a reservation and returns the records to store.
 // A settled reservation never changes. The caller must hold the mutex.
 func (l *Ledger) putReservation(reservation *wire.Reservation) []archive.Record {
-	entries := l.programs[reservation.GetProgram()]
-	if entries == nil {
-		entries = make(map[string]reservationEntry)
-		l.programs[reservation.GetProgram()] = entries
-	}
-	entry, found := entries[reservation.GetTurn()]
+	entry, found := l.programs[reservation.GetProgram()][reservation.GetTurn()]
 	if found && (entry.settled || !reservation.GetSettled()) {
 		return nil
 	}
 	if !found {
-		entry.expires = time.UnixMilli(reservation.GetExpiresUnixMilliseconds())
-	}
-	if entry.version == nil {
-		entry.version = reservation.ServerVersion
+		entry.setExpires(time.UnixMilli(reservation.GetExpiresUnixMilliseconds()))
 	}
+	entry.addVersion(reservation.ServerVersion)
 	entry.tokens = reservation.GetTokens()
 	entry.settled = reservation.GetSettled()
-	entries[reservation.GetTurn()] = entry
+	l.setReservation(reservation.GetProgram(), reservation.GetTurn(), entry)
 	return []archive.Record{encodeReservation(reservation.GetProgram(), reservation.GetTurn(), entry)}
 }
 
@@ -364,10 +316,10 @@
 // addTurn adds a stored turn to the index, unless a later expiry of it is known. The caller
 // must hold the mutex.
 func (l *Ledger) addTurn(turn *wire.Turn, record archive.Record) {
-	if entry, found := l.turns[turn.GetId()]; found && !entry.unreadable && !entry.expires.Before(record.Expires) {
+	if entry, found := l.turns[turn.GetId()]; found && !entry.unreadable && !entry.expires().Before(record.Expires) {
 		return
 	}
-	l.turns[turn.GetId()] = newTurnEntry(turn, record)
+	l.setTurn(turn.GetId(), newTurnEntry(turn, record))
 	delete(l.gaps, turn.GetId())
 }
 
@@ -382,9 +334,9 @@
 	}
 	value, err := l.read(link{id: turn.GetId(), entry: entry}, nil)
 	if err != nil {
-		return encodeTurn(turn, entry.expires)
+		return encodeTurn(turn, entry.expires())
 	}
-	return archive.Record{Key: turnPrefix + turn.GetId(), Value: value, Expires: entry.expires}, nil
+	return archive.Record{Key: turnPrefix + turn.GetId(), Value: value, Expires: entry.expires()}, nil
 }
 
 // load adds a record from disk to the index when the ledger is opened.
@@ -400,7 +352,7 @@
 	case copiedRecord:
 		l.copied = decoded.members
 	case turnRecord:
-		l.turns[decoded.turn.GetId()] = newTurnEntry(decoded.turn, record)
+		l.setTurn(decoded.turn.GetId(), newTurnEntry(decoded.turn, record))
 	case reservationRecord:
 		l.loadReservation(decoded.reservation, record.Expires)
 	}
@@ -410,18 +362,11 @@
 // its earlier record on disk. Records are loaded in order of expiry, so the latest
 // expiry is kept, but an open record never replaces a settled one.
 func (l *Ledger) loadReservation(reservation *wire.Reservation, expires time.Time) {
-	entries := l.programs[reservation.GetProgram()]
-	if entries == nil {
-		entries = make(map[string]reservationEntry)
-		l.programs[reservation.GetProgram()] = entries
-	}
-	entry := entries[reservation.GetTurn()]
+	entry := l.programs[reservation.GetProgram()][reservation.GetTurn()]
 	if !entry.settled {
 		entry.tokens, entry.settled = reservation.GetTokens(), reservation.GetSettled()
 	}
-	if entry.version == nil {
-		entry.version = reservation.ServerVersion
-	}
-	entry.expires = expires
-	entries[reservation.GetTurn()] = entry
+	entry.addVersion(reservation.ServerVersion)
+	entry.setExpires(expires)
+	l.setReservation(reservation.GetProgram(), reservation.GetTurn(), entry)
 }
--- a/keeper/ledger/record.go
+++ b/keeper/ledger/record.go
@@ -128,7 +128,7 @@
 // newReservationRecord returns the message of a reservation.
 func newReservationRecord(program, turn string, entry reservationEntry) *wire.Reservation {
 	return &wire.Reservation{
-		Program: program, Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version, ExpiresUnixMilliseconds: entry.expires.UnixMilli(),
+		Program: program, Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version(), ExpiresUnixMilliseconds: entry.expires().UnixMilli(),
 	}
 }
 
@@ -143,5 +143,5 @@
 		// Strings that are not valid UTF-8 are rejected before they get here.
 		panic(err)
 	}
-	return archive.Record{Key: reservationKey(program, turn), Value: value, Expires: entry.expires}
+	return archive.Record{Key: reservationKey(program, turn), Value: value, Expires: entry.expires()}
 }
--- a/keeper/metrics.go
+++ b/keeper/metrics.go
@@ -63,6 +63,14 @@
 	if err != nil {
 		return nil, err
 	}
+	indexBytes, err := meter.Int64ObservableGauge("limpethall.keeper.index.bytes", metric.WithUnit("By"), metric.WithDescription("Estimated memory of the index of turns and budgets."))
+	if err != nil {
+		return nil, err
+	}
+	indexLimit, err := meter.Int64ObservableGauge("limpethall.keeper.index.limit", metric.WithUnit("By"), metric.WithDescription("Memory of the index above which turns are refused, 0 for no limit."))
+	if err != nil {
+		return nil, err
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
 		turnCount, programCount := records.Counts()
 		observer.ObserveInt64(turns, int64(turnCount))
@@ -71,6 +79,8 @@
 		observer.ObserveInt64(unavailable, int64(net.Unavailable()))
 		observer.ObserveInt64(callBytes, calls.Used())
 		observer.ObserveInt64(callsRefused, calls.Refused())
+		observer.ObserveInt64(indexBytes, records.IndexBytes())
+		observer.ObserveInt64(indexLimit, records.IndexLimit())
 		observer.ObserveInt64(panics, task.Panics())
 		readyValue := int64(0)
 		if records.Ready() {
@@ -78,7 +88,7 @@
 		}
 		observer.ObserveInt64(ready, readyValue)
 		return nil
-	}, turns, programs, gaps, panics, ready, unavailable, callBytes, callsRefused)
+	}, turns, programs, gaps, panics, ready, unavailable, callBytes, callsRefused, indexBytes, indexLimit)
 	return i, err
 }
 
