--- a/keeper/ledger/chain.go
+++ b/keeper/ledger/chain.go
@@ -11,25 +11,28 @@
 )
 
 // extendChain stores the turns of a chain that would expire before the given time again, with
-// a later expiry. Turns before a missing one are extended when that one has been fetched.
+// a later expiry. Turns before a missing one are extended when that one has been fetched. It
+// keeps one turn in memory at a time, and one chain is extended at a time.
 func (l *Ledger) extendChain(now time.Time, id, placement string, until time.Time) error {
+	links := l.expiring(id, placement, until)
+	if len(links) == 0 {
+		return nil
+	}
+	l.extending.Lock()
+	defer l.extending.Unlock()
 	extended := until.Add(until.Sub(now) * extraRetentionFactor)
-	var links []link
-	var records []archive.Record
-	for _, link := range l.expiring(id, placement, until) {
-		value, err := l.read(link)
-		if err != nil {
+	var value []byte
+	for _, link := range links {
+		var err error
+		if value, err = l.read(link, value[:0]); err != nil {
 			l.noteUnreadable(link.id, err)
 			break
 		}
-		link.entry.expires = extended
-		links = append(links, link)
-		records = append(records, archive.Record{Key: turnPrefix + link.id, Value: value, Expires: extended})
-	}
-	if err := l.archive.StoreNoSync(records...); err != nil {
-		return err
+		if err := l.archive.StoreNoSync(archive.Record{Key: turnPrefix + link.id, Value: value, Expires: extended}); err != nil {
+			return err
+		}
+		l.setExtended(link, extended)
 	}
-	l.setExtended(links)
 	return nil
 }
 
@@ -44,7 +47,7 @@
 			l.noteGap(id, placement, until)
 			break
 		}
-		if entry.expires.Before(until) {
+		if entry.expires().Before(until) {
 			links = append(links, link{id: id, entry: entry})
 		}
 		id = entry.previous
@@ -52,15 +55,14 @@
 	return links
 }
 
-// setExtended adds the new expiry of stored turns to the index.
-func (l *Ledger) setExtended(links []link) {
+// setExtended adds the new expiry of a stored turn to the index.
+func (l *Ledger) setExtended(turn link, expires time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for _, link := range links {
-		if known, found := l.turns[link.id]; !found || known.expires.Before(link.entry.expires) {
-			l.turns[link.id] = link.entry
-			delete(l.gaps, link.id)
-		}
+	if known, found := l.turns[turn.id]; !found || known.expires().Before(expires) {
+		turn.entry.setExpires(expires)
+		l.setTurn(turn.id, turn.entry)
+		delete(l.gaps, turn.id)
 	}
 }
 
@@ -87,13 +89,13 @@
 			return nil, "", wire.FindVerdict_FIND_VERDICT_UNCERTAIN
 		case !found:
 			return chain, id, wire.FindVerdict_FIND_VERDICT_PARTIAL
-		case entry.workspace != workspace:
+		case entry.workspace() != workspace:
 			return nil, "", wire.FindVerdict_FIND_VERDICT_FOREIGN
 		case entry.unreadable && id == turn:
-			l.noteGap(id, entry.placement, entry.expires)
+			l.noteGap(id, entry.placement, entry.expires())
 			return nil, "", wire.FindVerdict_FIND_VERDICT_UNCERTAIN
 		case entry.unreadable:
-			l.noteGap(id, entry.placement, entry.expires)
+			l.noteGap(id, entry.placement, entry.expires())
 			return chain, id, wire.FindVerdict_FIND_VERDICT_PARTIAL
 		}
 		chain = append(chain, link{id: id, entry: entry})
@@ -102,18 +104,18 @@
 	return chain, "", wire.FindVerdict_FIND_VERDICT_FOUND
 }
 
-// read returns the stored value of a turn. It reads again what was stored with another expiry
-// since the link was read from the index.
-func (l *Ledger) read(turn link) ([]byte, error) {
+// read appends the stored value of a turn to buffer. It reads again what was stored with another
+// expiry since the link was read from the index.
+func (l *Ledger) read(turn link, buffer []byte) ([]byte, error) {
 	for {
-		value, err := l.archive.Read(turnPrefix+turn.id, turn.entry.expires)
+		value, err := l.archive.AppendTo(buffer, turnPrefix+turn.id, turn.entry.expires())
 		if err == nil {
 			return value, nil
 		}
 		l.mutex.Lock()
 		entry, found := l.turns[turn.id]
 		l.mutex.Unlock()
-		if !found || !entry.expires.After(turn.entry.expires) {
+		if !found || !entry.expires().After(turn.entry.expires()) {
 			return nil, err
 		}
 		turn.entry = entry
@@ -121,11 +123,11 @@
 }
 
 func (l *Ledger) readTurn(turn link) (*wire.Turn, error) {
-	value, err := l.read(turn)
+	value, err := l.read(turn, nil)
 	if err != nil {
 		return nil, err
 	}
-	decoded, err := decodeRecord(archive.Record{Key: turnPrefix + turn.id, Value: value, Expires: turn.entry.expires})
+	decoded, err := decodeRecord(archive.Record{Key: turnPrefix + turn.id, Value: value, Expires: turn.entry.expires()})
 	if err != nil {
 		return nil, err
 	}
@@ -139,7 +141,7 @@
 	if !found || !entry.unreadable {
 		return entry, found
 	}
-	if _, err := l.archive.Read(turnPrefix+id, entry.expires); err != nil {
+	if _, err := l.archive.Read(turnPrefix+id, entry.expires()); err != nil {
 		return entry, true
 	}
 	entry.unreadable = false
@@ -162,5 +164,5 @@
 	l.logger.Error("failed to read stored turn", zap.String("turn", id), zap.Error(err))
 	entry.unreadable = true
 	l.turns[id] = entry
-	l.noteGap(id, entry.placement, entry.expires)
+	l.noteGap(id, entry.placement, entry.expires())
 }
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -16,7 +16,6 @@
 package ledger
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,29 +39,6 @@
 // noExpiry is the expiry time of records that are never removed.
 var noExpiry = time.Unix(1<<40, 0)
 
-// turnEntry is the in-memory index entry of a stored turn.
-type turnEntry struct {
-	previous  string
-	workspace string
-	placement string
-	expires   time.Time // Of the record on disk.
-	// unreadable is set after the record could not be read. It is fetched from another keeper.
-	unreadable bool
-}
-
-// newTurnEntry returns the index entry of a turn.
-func newTurnEntry(turn *wire.Turn, expires time.Time) turnEntry {
-	return turnEntry{previous: turn.GetPrevious(), workspace: turn.GetWorkspace(), placement: turn.GetPlacement(), expires: expires}
-}
-
-// reservationEntry is the share of a program's budget reserved or spent by one turn.
-type reservationEntry struct {
-	tokens  int64
-	settled bool
-	version *string   // Software version of the turn's backend servers, nil if unknown.
-	expires time.Time // Of the record on disk.
-}
-
 // Ledger indexes the turns and reservations of an archive. It is safe for
 // concurrent use.
 type Ledger struct {
@@ -71,17 +47,18 @@
 	ready   atomic.Bool
 	copied  *wire.KeeperList // As of Open.
 	pending func(placement string) bool
+	// refusedAt is when a refusal for the memory of the index was logged, in Unix nanoseconds.
+	refusedAt atomic.Int64
 
-	merging  sync.Mutex // Held while copied turns are stored. It is locked before mutex.
-	mutex    sync.Mutex
-	turns    map[string]turnEntry
-	gaps     map[string]Gap                         // By missing turn.
-	programs map[string]map[string]reservationEntry // By program, then by turn.
+	merging   sync.Mutex // Held while copied turns are stored. It is locked before the others.
+	extending sync.Mutex // Held while a chain is extended. It is locked before mutex.
+	mutex     sync.Mutex
+	index
 }
 
 // Open loads the unexpired records of the archive.
 func Open(disk *archive.Archive, now time.Time, logger *zap.Logger) (*Ledger, error) {
-	l := &Ledger{archive: disk, logger: logger, turns: make(map[string]turnEntry), gaps: make(map[string]Gap), programs: make(map[string]map[string]reservationEntry)}
+	l := &Ledger{archive: disk, logger: logger, index: newIndex()}
 	_, err := disk.Scan(nil, func(record archive.Record) bool {
 		if record.Expires.After(now) {
 			l.load(record)
@@ -89,7 +66,7 @@
 		return true
 	})
 	for _, entry := range l.turns {
-		l.noteGap(entry.previous, entry.placement, entry.expires)
+		l.noteGap(entry.previous, entry.placement, entry.expires())
 	}
 	return l, err
 }
@@ -108,6 +85,13 @@
 	return len(l.turns), len(l.programs)
 }
 
+// ReservationCount returns the number of reservations of a program.
+func (l *Ledger) ReservationCount(program string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.programs[program])
+}
+
 // SetReady sets whether this keeper holds all records that it is a replica for.
 // The state is stored on disk: after a restart, a keeper lacks only records that
 // it never acknowledged.
@@ -155,39 +139,50 @@
 
 func (l *Ledger) isPending(placement string) bool { return l.pending != nil && l.pending(placement) }
 
-// Begin reserves tokens if they fit into the program's remaining budget, and
-// syncs the reservation to disk. A repeated request gets the same answer as the
-// first and reserves nothing more.
+// Begin is like BeginTurn with the history in the reply.
 func (l *Ledger) Begin(now time.Time, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
+	reply, history, err := l.BeginTurn(now, request)
+	if err != nil || history == nil {
+		return reply, err
+	}
+	reply.History, err = history.Reply()
+	return reply, err
+}
+
+// BeginTurn reserves tokens if they fit into the program's remaining budget, and
+// syncs the reservation to disk. A repeated request gets the same answer as the
+// first and reserves nothing more. The history belongs into the reply, nil for none.
+func (l *Ledger) BeginTurn(now time.Time, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, *History, error) {
 	if !l.Ready() || l.isPending(request.GetReservation().GetProgram()) {
-		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY}, nil
+		return &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_NOT_READY}, nil, nil
 	}
 	// Checked before a record changes in memory, which would no longer be that on disk.
 	if err := l.archive.Writable(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED, ResumedVersion: l.versionOf(request.GetReservation().GetProgram(), request.GetResumes())}
+	if err := l.hasRoom(l.reserveFor(request)); err != nil {
+		return nil, nil, err
+	}
 	if request.GetReservation() != nil {
 		spent, admitted, records := l.reserve(now, request, reply)
 		reply.SpentTokens = spent
 		if !admitted {
 			reply.Verdict = wire.BeginVerdict_BEGIN_VERDICT_EXHAUSTED
-			return reply, nil
+			return reply, nil, nil
 		}
 		if err := l.archive.Store(records...); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
-	if request.GetPrevious() != "" && request.GetWantHistory() {
-		chain, missing, verdict := l.chain(request.GetPrevious(), request.GetWorkspace())
-		if verdict == wire.FindVerdict_FIND_VERDICT_PARTIAL {
-			return reply, nil // The hall searches for it, as another keeper may have the whole chain.
-		}
-		var err error
-		reply.History, err = l.history(chain, missing, verdict)
-		return reply, err
+	if request.GetPrevious() == "" || !request.GetWantHistory() {
+		return reply, nil, nil
 	}
-	return reply, nil
+	history := l.History(request.GetPrevious(), request.GetWorkspace())
+	if history.Verdict() == wire.FindVerdict_FIND_VERDICT_PARTIAL {
+		return reply, nil, nil // The hall searches for it, as another keeper may have the whole chain.
+	}
+	return reply, history, nil
 }
 
 // Finish settles the reservation and stores the turn, which is synced to disk
@@ -197,6 +192,11 @@
 	if err := l.archive.Writable(); err != nil {
 		return err
 	}
+	if request.GetTurn() != nil {
+		if err := l.hasRoom(0); err != nil {
+			return err
+		}
+	}
 	var records []archive.Record
 	l.mutex.Lock()
 	if reservation := request.GetReservation(); reservation.GetProgram() != "" {
@@ -212,49 +212,15 @@
 	return l.storeTurn(now, request.GetTurn(), records)
 }
 
-// Find returns the history up to and including a turn of the workspace. If an earlier turn
-// is missing, it returns the history after that one.
+// Find is like History with the parts in memory.
 func (l *Ledger) Find(turn, workspace string) (*wire.FindTurnReply, error) {
-	return l.history(l.chain(turn, workspace))
-}
-
-// history returns the reply for the result of chain.
-func (l *Ledger) history(chain []link, missing string, verdict wire.FindVerdict) (*wire.FindTurnReply, error) {
-	reply := &wire.FindTurnReply{Verdict: verdict, Missing: missing}
-	if len(chain) == 0 {
-		return reply, nil
-	}
-	for index := len(chain) - 1; index >= 0; index-- {
-		stored, err := l.readTurn(chain[index])
-		if err != nil {
-			l.noteUnreadable(chain[index].id, err)
-			return nil, err
-		}
-		reply.Parts = append(reply.Parts, stored.GetInput(), stored.GetOutput())
-	}
-	reply.Placement = chain[0].entry.placement
-	return reply, nil
+	return l.History(turn, workspace).Reply()
 }
 
 // Expire removes expired records from memory and from disk.
 func (l *Ledger) Expire(now time.Time) error {
 	l.mutex.Lock()
-	for id, entry := range l.turns {
-		if entry.expires.Before(now) {
-			delete(l.turns, id)
-		}
-	}
-	maps.DeleteFunc(l.gaps, func(_ string, gap Gap) bool { return gap.expires.Before(now) })
-	for program, reservations := range l.programs {
-		for turn, entry := range reservations {
-			if entry.expires.Before(now) {
-				delete(reservations, turn)
-			}
-		}
-		if len(reservations) == 0 {
-			delete(l.programs, program)
-		}
-	}
+	l.expire(now)
 	l.mutex.Unlock()
 	return l.archive.Expire(now)
 }
@@ -264,7 +230,7 @@
 func (l *Ledger) versionOf(program, turn string) *string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.programs[program][turn].version
+	return l.programs[program][turn].version()
 }
 
 // reserve adds the reservation if it fits into the budget, if any. The program's other
@@ -282,7 +248,7 @@
 		}
 		spent += entry.tokens
 		if request.GetWantReservations() {
-			reply.Reservations = append(reply.Reservations, &wire.Reservation{Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version})
+			reply.Reservations = append(reply.Reservations, &wire.Reservation{Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version()})
 		}
 	}
 	if request.GetBudget() > 0 && spent+reservation.GetTokens() > request.GetBudget() {
@@ -291,8 +257,8 @@
 	records = l.putOrRepeatReservation(reservation)
 	expires := time.UnixMilli(reservation.GetExpiresUnixMilliseconds())
 	for turn, entry := range entries {
-		if entry.expires.Before(expires) {
-			entry.expires = expires.Add(expires.Sub(now) * extraRetentionFactor)
+		if entry.expires().Before(expires) {
+			entry.setExpires(expires.Add(expires.Sub(now) * extraRetentionFactor))
 			entries[turn] = entry
 			records = append(records, encodeReservation(reservation.GetProgram(), turn, entry))
 		}
@@ -313,24 +279,17 @@
 // putReservation adds or settles a reservation and returns the records to store.
 // A settled reservation never changes. The caller must hold the mutex.
 func (l *Ledger) putReservation(reservation *wire.Reservation) []archive.Record {
-	entries := l.programs[reservation.GetProgram()]
-	if entries == nil {
-		entries = make(map[string]reservationEntry)
-		l.programs[reservation.GetProgram()] = entries
-	}
-	entry, found := entries[reservation.GetTurn()]
+	entry, found := l.programs[reservation.GetProgram()][reservation.GetTurn()]
 	if found && (entry.settled || !reservation.GetSettled()) {
 		return nil
 	}
 	if !found {
-		entry.expires = time.UnixMilli(reservation.GetExpiresUnixMilliseconds())
-	}
-	if entry.version == nil {
-		entry.version = reservation.ServerVersion
+		entry.setExpires(time.UnixMilli(reservation.GetExpiresUnixMilliseconds()))
 	}
+	entry.addVersion(reservation.ServerVersion)
 	entry.tokens = reservation.GetTokens()
 	entry.settled = reservation.GetSettled()
-	entries[reservation.GetTurn()] = entry
+	l.setReservation(reservation.GetProgram(), reservation.GetTurn(), entry)
 	return []archive.Record{encodeReservation(reservation.GetProgram(), reservation.GetTurn(), entry)}
 }
 
@@ -350,17 +309,17 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.addTurn(turn, record.Expires)
+	l.addTurn(turn, record)
 	return nil
 }
 
 // addTurn adds a stored turn to the index, unless a later expiry of it is known. The caller
 // must hold the mutex.
-func (l *Ledger) addTurn(turn *wire.Turn, expires time.Time) {
-	if entry, found := l.turns[turn.GetId()]; found && !entry.unreadable && entry.expires.After(expires) {
+func (l *Ledger) addTurn(turn *wire.Turn, record archive.Record) {
+	if entry, found := l.turns[turn.GetId()]; found && !entry.unreadable && !entry.expires().Before(record.Expires) {
 		return
 	}
-	l.turns[turn.GetId()] = newTurnEntry(turn, expires)
+	l.setTurn(turn.GetId(), newTurnEntry(turn, record))
 	delete(l.gaps, turn.GetId())
 }
 
@@ -373,11 +332,11 @@
 	if !found {
 		return encodeTurn(turn, expires)
 	}
-	value, err := l.read(link{id: turn.GetId(), entry: entry})
+	value, err := l.read(link{id: turn.GetId(), entry: entry}, nil)
 	if err != nil {
-		return encodeTurn(turn, entry.expires)
+		return encodeTurn(turn, entry.expires())
 	}
-	return archive.Record{Key: turnPrefix + turn.GetId(), Value: value, Expires: entry.expires}, nil
+	return archive.Record{Key: turnPrefix + turn.GetId(), Value: value, Expires: entry.expires()}, nil
 }
 
 // load adds a record from disk to the index when the ledger is opened.
@@ -393,7 +352,7 @@
 	case copiedRecord:
 		l.copied = decoded.members
 	case turnRecord:
-		l.turns[decoded.turn.GetId()] = newTurnEntry(decoded.turn, record.Expires)
+		l.setTurn(decoded.turn.GetId(), newTurnEntry(decoded.turn, record))
 	case reservationRecord:
 		l.loadReservation(decoded.reservation, record.Expires)
 	}
@@ -403,18 +362,11 @@
 // its earlier record on disk. Records are loaded in order of expiry, so the latest
 // expiry is kept, but an open record never replaces a settled one.
 func (l *Ledger) loadReservation(reservation *wire.Reservation, expires time.Time) {
-	entries := l.programs[reservation.GetProgram()]
-	if entries == nil {
-		entries = make(map[string]reservationEntry)
-		l.programs[reservation.GetProgram()] = entries
-	}
-	entry := entries[reservation.GetTurn()]
+	entry := l.programs[reservation.GetProgram()][reservation.GetTurn()]
 	if !entry.settled {
 		entry.tokens, entry.settled = reservation.GetTokens(), reservation.GetSettled()
 	}
-	if entry.version == nil {
-		entry.version = reservation.ServerVersion
-	}
-	entry.expires = expires
-	entries[reservation.GetTurn()] = entry
+	entry.addVersion(reservation.ServerVersion)
+	entry.setExpires(expires)
+	l.setReservation(reservation.GetProgram(), reservation.GetTurn(), entry)
 }
