network: a listener that is closed opens its address no more

Callers saw: by reading; found in the review of TestCloseAfterFailedStart. A process that closed a listener, and built its servers again, could find the address in use for a moment. Cause: a listener that had broken listened again without the lock that Close takes. Close returned meanwhile, and the address was bound after it. Evidence: TestCloseWhileReopening on the code before: "bind: address already in use, want the address free". Change: reopen holds the lock, and listens only if the listener is not closed. Why it works: Close waits for a reopen that has begun, closes what that opened, and none begins afterwards. Measured: the test and TestServersOutliveFailedAccepts, 10 runs with the race detector: passed.

--- a/kernel/network/lasting.go
+++ b/kernel/network/lasting.go
@@ -83,18 +83,18 @@
 }
 
 // reopen replaces a broken listener by a new one at the same address, if that is available.
+// Close waits meanwhile, so that the address is free once it has returned.
 func (l *lastingListener) reopen(broken net.Listener) {
-	_ = broken.Close() // It fails if it is closed already.
-	reopened, err := l.waiting.Network.Listen(l.address.String())
-	if err != nil {
-		return // Accept returns the error of the broken listener again.
-	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.isClosed {
-		_ = reopened.Close() // It has accepted no connection.
 		return
 	}
+	_ = broken.Close() // It fails if it is closed already.
+	reopened, err := l.waiting.Network.Listen(l.address.String())
+	if err != nil {
+		return // Accept returns the error of the broken listener again.
+	}
 	l.current = reopened
 }
 
--- a/kernel/network/lasting_test.go
+++ b/kernel/network/lasting_test.go
@@ -127,3 +127,46 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return err == nil
 }
+
+// slowNetwork takes its time to return the second listener and those that follow.
+type slowNetwork struct {
+	*faultyNetwork
+	reopened chan struct{}
+}
+
+func (n *slowNetwork) Listen(address string) (net.Listener, error) {
+	again := n.listens.Load() > 0
+	socket, err := n.faultyNetwork.Listen(address)
+	if again {
+		n.reopened <- struct{}{}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return socket, err
+}
+
+// TestCloseWhileReopening guards against a process that can't have its address back, because
+// the listener it closed was just opening it again.
+func TestCloseWhileReopening(t *testing.T) {
+	faulty := &slowNetwork{faultyNetwork: &faultyNetwork{faults: []error{net.ErrClosed}}, reopened: make(chan struct{}, 1)}
+	socket, err := network.NewWaiting(t.Context(), faulty, zap.NewNop()).Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := socket.Accept()
+		ended <- err
+	}()
+	<-faulty.reopened
+	if err := socket.Close(); err != nil {
+		t.Errorf("close: %v", err)
+	}
+	next, err := network.TCP{}.Listen(socket.Addr().String())
+	if err != nil {
+		t.Fatalf("listen after close: got %v, want the address free", err)
+	}
+	_ = next.Close()
+	if err := <-ended; err == nil {
+		t.Error("accept after close: got a connection, want an error")
+	}
+}
