archive: an archive that is closed late frees its lock

Callers saw: TestOpenDamaged/log_empty failed once under the race detector, beside load: "close: the disk is too slow to close the archive". The test opens the archive again after one Close. Cause of the failure: Close returns after its bound of 2 s and goes on in the background, as its comment says. The test took that for a failure; the product does not (keeper.Close tries again). Traced further, the same place has four faults: - operations that begin after such a Close wait for the disk rather than return a ClosedError, - each further Close leaves one more goroutine waiting, and reports "closed" in place of the result, - an opening that the end of its context abandoned closes its archive once: if the disk can't be written at that moment, the process keeps the lock and waits for itself when it is built again, - so does New of a keeper that finds its address in use. The fault of New is by reading; it takes the same path (Abandon). Change: closing is begun once and later calls wait for the same end; operations that find it begun return; CloseWhenWritable is what the keeper did itself, and Abandon does that in the background. The bound of Close is unchanged.

--- a/keeper/archive/archive.go
+++ b/keeper/archive/archive.go
@@ -50,8 +50,6 @@
 // lastBucket is the first disk key after all buckets.
 var lastBucket = bytes.Repeat([]byte{0xff}, bucketPrefixBytes)
 
-var errCloseTimeout = errors.New("the disk is too slow to close the archive")
-
 // Record is a key-value pair with an expiry time.
 type Record struct {
 	Key     string
@@ -75,54 +73,18 @@
 
 	backgroundErrorNoted atomic.Int64 // Unix time in nanoseconds.
 
-	mutex  sync.RWMutex // Held for reading by operations, as the database panics if it is closed meanwhile.
-	closed bool
+	mutex   sync.RWMutex // Held for reading by operations, as the database panics if it is closed meanwhile.
+	closing atomic.Pointer[closing]
 }
 
 // Damaged reports whether files of this archive were found damaged, at this opening or an
 // earlier one, so that records may be missing.
 func (a *Archive) Damaged() bool { return a.damaged }
 
-// Close waits for the operations in progress and closes the database. Later operations
-// return a *ClosedError. While the disk can't be written it returns an error at once, and
-// soon if the disk is slow: synced records need no close.
-func (a *Archive) Close() error {
-	if err := a.Writable(); err != nil {
-		return err
-	}
-	closed := make(chan error, 1)
-	go func() { closed <- a.close() }()
-	deadline := time.After(closeTimeout)
-	for {
-		if err := a.Writable(); err != nil {
-			return err
-		}
-		select {
-		case err := <-closed:
-			return err
-		case <-deadline:
-			return errCloseTimeout
-		case <-time.After(writeRetryInterval):
-		}
-	}
-}
-
-func (a *Archive) close() error {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	if a.closed {
-		return &ClosedError{}
-	}
-	a.closed = true
-	return errors.Join(a.db.Close(), a.lock.Close())
-}
-
 // begin begins an operation on the database, which ends with a call of end. It returns an
 // error if the archive is closed.
 func (a *Archive) begin() (end func(), err error) {
-	a.mutex.RLock()
-	if a.closed {
-		a.mutex.RUnlock()
+	if !a.mutex.TryRLock() { // Only the end of the archive locks it for writing.
 		return nil, &ClosedError{}
 	}
 	return a.mutex.RUnlock, nil
--- a/keeper/archive/open.go
+++ b/keeper/archive/open.go
@@ -151,7 +151,7 @@
 	case <-ctx.Done():
 		go func() {
 			if opened := <-results; opened.err == nil {
-				o.logger.Info("closed an archive that was opened after the stop", zap.Error(opened.archive.Close()))
+				o.logger.Info("closed an archive that was opened after the stop", zap.Error(opened.archive.CloseWhenWritable()))
 			}
 		}()
 		return nil, ctx.Err()
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -70,8 +70,6 @@
 	// drainTimeout bounds the wait for calls in progress when the keeper stops. Callers wait
 	// less for their reply.
 	drainTimeout = time.Second
-	// closeLogInterval is the interval at which the reason is logged why Close waits.
-	closeLogInterval = 10 * time.Second
 	// headerTimeout bounds reading the headers of a request.
 	headerTimeout = 5 * time.Second
 	// callTimeout bounds reading the message of a call.
@@ -159,11 +157,11 @@
 	calls := buffer.NewBudget(callMemory(options.MemoryBytes))
 	instruments, err := newInstruments(options.Meters.Meter(), records, options.Network, calls)
 	if err != nil {
-		return nil, errors.Join(err, disk.Close())
+		return nil, errors.Join(err, disk.Abandon())
 	}
 	listener, err := options.Network.ListenFirst(ctx, formerFirst(options, records.Copied()))
 	if err != nil {
-		return nil, errors.Join(oops.In("keeper").Wrapf(err, "listen for halls and keepers"), disk.Close())
+		return nil, errors.Join(oops.In("keeper").Wrapf(err, "listen for halls and keepers"), disk.Abandon())
 	}
 	transport := &http.Transport{DialContext: options.Network.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
 	k := &Keeper{
@@ -173,7 +171,7 @@
 	}
 	k.resident = resident.New(options.MemoryBytes, k.memoryFields, options.Logger.Named("memory"))
 	if err := k.resident.Register(options.Meters.Meter()); err != nil {
-		return nil, errors.Join(err, listener.Close(), disk.Close())
+		return nil, errors.Join(err, listener.Close(), disk.Abandon())
 	}
 	k.ledger.SetPending(k.isPending)
 	if copied := records.Copied(); copied != nil {
@@ -268,13 +266,8 @@
 	}
 	k.transport.CloseIdleConnections()
 	var closedErr *archive.ClosedError
-	var logged time.Time
-	for err := k.archive.Close(); err != nil && !errors.As(err, &closedErr); err = k.archive.Close() {
-		if time.Since(logged) >= closeLogInterval {
-			logged = time.Now()
-			k.logger.Error("record store can't be closed, trying again", zap.Error(err))
-		}
-		time.Sleep(retryDelay)
+	if err := k.archive.CloseWhenWritable(); err != nil && !errors.As(err, &closedErr) {
+		k.logger.Error("record store was closed with an error", zap.Error(err))
 	}
 }
 
