archive: tests wait until an archive is closed

All tests of the package that close an archive and then use its directory, or want no error, took a SlowError for a failure, which depends on the machine. Change: closeFully calls Close again after a SlowError, and after no other error, and returns the result of closing. The tests of Close's own errors and bound call Close. As strict as before: closing must end without an error.

--- a/keeper/archive/archive_test.go
+++ b/keeper/archive/archive_test.go
@@ -54,7 +54,7 @@
 				}
 			}
 			crashed := fs.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: random.IntN(101), RNG: random})
-			if err := store.Close(); err != nil {
+			if err := closeFully(store); err != nil {
 				t.Fatalf("close: %v", err)
 			}
 			reopened, err := archive.OpenFS(t.Context(), crashed, "data", zap.NewNop())
--- a/keeper/archive/bounded_test.go
+++ b/keeper/archive/bounded_test.go
@@ -32,7 +32,7 @@
 		if got := len(scanAll(t, store)); got != recordCount || !store.Damaged() {
 			t.Errorf("records: got %d, damaged %t; want all %d of a damaged archive", got, store.Damaged(), recordCount)
 		}
-		if err := store.Close(); err != nil {
+		if err := closeFully(store); err != nil {
 			t.Errorf("close: %v", err)
 		}
 		names, _ := files.List("data")
--- a/keeper/archive/close_test.go
+++ b/keeper/archive/close_test.go
@@ -53,12 +53,23 @@
 		})
 	}
 	time.Sleep(50 * time.Millisecond)
-	if err := store.Close(); err != nil {
+	if err := closeFully(store); err != nil {
 		t.Errorf("close: %v", err)
 	}
 	users.Wait()
 }
 
+// closeFully closes an archive, and calls Close again only while the disk is slow. Closing goes
+// on meanwhile.
+func closeFully(store *archive.Archive) error {
+	var slow *archive.SlowError
+	err := store.Close()
+	for errors.As(err, &slow) {
+		err = store.Close()
+	}
+	return err
+}
+
 // slowFS is a file system whose syncs wait while slow is held.
 type slowFS struct {
 	vfs.FS
@@ -124,7 +135,7 @@
 	if err := <-stored; err != nil {
 		t.Errorf("store that waited: %v", err)
 	}
-	if err := store.Close(); err != nil {
+	if err := closeFully(store); err != nil {
 		t.Errorf("close when the disk is quick again: got %v, want the result of closing", err)
 	}
 	if err := store.Close(); !errors.As(err, &closed) {
@@ -134,7 +145,7 @@
 	if err != nil {
 		t.Fatalf("open after close: %v", err)
 	}
-	if err := next.Close(); err != nil {
+	if err := closeFully(next); err != nil {
 		t.Errorf("close: %v", err)
 	}
 }
@@ -169,7 +180,7 @@
 	if err != nil {
 		t.Fatalf("open after an opening was abandoned: got %v, want the archive", err)
 	}
-	if err := store.Close(); err != nil {
+	if err := closeFully(store); err != nil {
 		t.Errorf("close: %v", err)
 	}
 }
--- a/keeper/archive/damage_test.go
+++ b/keeper/archive/damage_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -61,7 +60,7 @@
 		time.Sleep(50 * time.Millisecond)
 		files = fs.CrashClone(vfs.CrashCloneCfg{})
 	}
-	if err := store.Close(); err != nil {
+	if err := closeFully(store); err != nil {
 		t.Fatalf("close: %v", err)
 	}
 	return files
@@ -163,12 +162,7 @@
 	if got, err := store.Read(added.Key, expires); err != nil || !bytes.Equal(got, added.Value) {
 		t.Errorf("read of a record stored after the damage: got %d bytes and %v", len(got), err)
 	}
-	var slow *archive.SlowError
-	err = store.Close()
-	for errors.As(err, &slow) {
-		err = store.Close() // Closing goes on. The archive is opened again only after its end.
-	}
-	if err != nil {
+	if err := closeFully(store); err != nil {
 		t.Errorf("close: %v", err)
 	}
 	return values, store.Damaged()
--- a/keeper/archive/errno_test.go
+++ b/keeper/archive/errno_test.go
@@ -80,7 +80,7 @@
 	case <-time.After(10 * time.Second):
 		t.Fatalf("writes after the directory came back: still waiting, %v", store.Writable())
 	}
-	if err := store.Close(); err != nil {
+	if err := closeFully(store); err != nil {
 		t.Errorf("close: %v", err)
 	}
 }
--- a/keeper/archive/failing_test.go
+++ b/keeper/archive/failing_test.go
@@ -129,7 +129,7 @@
 			if got := len(scanAll(t, reopened)); got != recordCount+1 || reopened.Damaged() {
 				t.Errorf("records after a loss of power: got %d, damaged %t; want %d", got, reopened.Damaged(), recordCount+1)
 			}
-			if err := errors.Join(store.Close(), reopened.Close()); err != nil {
+			if err := errors.Join(closeFully(store), closeFully(reopened)); err != nil {
 				t.Errorf("close: %v", err)
 			}
 		})
--- a/keeper/archive/lock_test.go
+++ b/keeper/archive/lock_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatalf("open while another process has the lock: got %v, want it to wait", err)
 	}
-	if err := store.Close(); err != nil {
+	if err := closeFully(store); err != nil {
 		t.Errorf("close: %v", err)
 	}
 	fs.released.Store(false)
--- a/keeper/archive/space_test.go
+++ b/keeper/archive/space_test.go
@@ -96,7 +96,7 @@
 			t.Errorf("record %s: got %d bytes, want the %d bytes that were synced", want.Key, len(got), len(want.Value))
 		}
 	}
-	if err := errors.Join(store.Close(), reopened.Close()); err != nil {
+	if err := errors.Join(closeFully(store), closeFully(reopened)); err != nil {
 		t.Errorf("close: %v", err)
 	}
 }
