--- a/kernel/task/task.go
+++ b/kernel/task/task.go
@@ -31,6 +31,8 @@
 	cancel  context.CancelFunc
 	logger  *zap.Logger
 	running sync.WaitGroup
+	mutex   sync.Mutex // Guards stopped, so that no task is added while Stop waits.
+	stopped bool
 }
 
 // New returns an empty group whose tasks are stopped when ctx ends.
@@ -39,8 +41,13 @@
 	return &Group{ctx: groupCtx, cancel: cancel, logger: logger}
 }
 
-// Go starts a task. The name identifies it in logs.
+// Go starts a task, unless the group is stopped. The name identifies it in logs.
 func (g *Group) Go(name string, task func(ctx context.Context) error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.stopped {
+		return
+	}
 	g.running.Add(1)
 	go func() {
 		defer g.running.Done()
@@ -67,9 +74,13 @@
 	})
 }
 
-// Stop cancels the context of all tasks and waits until they have returned.
+// Stop cancels the context of all tasks and waits until they have returned. It may be called
+// repeatedly, and by several goroutines.
 func (g *Group) Stop() {
 	g.cancel()
+	g.mutex.Lock()
+	g.stopped = true
+	g.mutex.Unlock()
 	g.running.Wait()
 }
 
--- a/kernel/task/task_test.go
+++ b/kernel/task/task_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -50,3 +51,30 @@
 		}
 	})
 }
+
+// TestGoWhileStopping guards against a process that panics, or goes on with a task, because the
+// task is started while its group is being stopped.
+func TestGoWhileStopping(t *testing.T) {
+	for range 200 {
+		group := task.New(t.Context(), zap.NewNop())
+		var running atomic.Int32
+		var calls sync.WaitGroup
+		for range 4 {
+			calls.Go(func() {
+				group.Go("late", func(ctx context.Context) error {
+					running.Add(1)
+					defer running.Add(-1)
+					<-ctx.Done()
+					return nil
+				})
+			})
+			calls.Go(func() {
+				group.Stop()
+				if got := running.Load(); got != 0 {
+					t.Errorf("tasks after Stop: got %d, want none", got)
+				}
+			})
+		}
+		calls.Wait()
+	}
+}
