listener: a panic of a handler does not end the process

Callers saw: by reading, in a search for ways to end that nobody listed. A handler that panics ended the process: a hall of the package hall, a limpet, and each reference program. Cause: the transporter of Hertz serves each connection in a goroutine without a guard. Servers of net/http have one. Evidence: a request to a handler that panics, on the code before: the test's own process ended with "panic: malformed request". The programs of platform/cmd don't use this package.

--- a/hall/hall.go
+++ b/hall/hall.go
@@ -171,11 +171,11 @@
 	if err != nil {
 		return err
 	}
-	p.publicListener, err = listener.New(listener.Options{Network: p.network, Address: p.settings.Listen, MaxBody: bodyReadFactor * p.settings.Limits.MaxBodyBytes, TLS: tlsConfig})
+	p.publicListener, err = listener.New(listener.Options{Network: p.network, Address: p.settings.Listen, MaxBody: bodyReadFactor * p.settings.Limits.MaxBodyBytes, TLS: tlsConfig, Logger: p.logger})
 	if err != nil {
 		return err
 	}
-	if p.peerListener, err = listener.New(listener.Options{Network: p.network, Address: p.settings.PeerListen, MaxBody: maxPeerBodyBytes}); err != nil {
+	if p.peerListener, err = listener.New(listener.Options{Network: p.network, Address: p.settings.PeerListen, MaxBody: maxPeerBodyBytes, Logger: p.logger}); err != nil {
 		return err
 	}
 	if p.meters, err = metrics.New("hall"); err != nil {
--- a/kernel/listener/listener.go
+++ b/kernel/listener/listener.go
@@ -26,8 +26,8 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/samber/oops"
+	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/network"
 )
@@ -55,6 +55,8 @@
 	MaxBody int
 	// TLS is the TLS configuration; nil disables TLS.
 	TLS *tls.Config
+	// Logger logs panics of handlers; nil means to standard error.
+	Logger *zap.Logger
 }
 
 // Listener is an HTTP server on an open port.
@@ -77,11 +79,14 @@
 	if options.MaxBody <= 0 {
 		options.MaxBody = defaultMaxBodyBytes
 	}
+	if options.Logger == nil {
+		options.Logger = zap.Must(zap.NewProduction())
+	}
 	l := &Listener{socket: socket}
 	l.hertz = server.New(
 		server.WithListener(monitoredListener{socket}),
 		server.WithOnAccept(connectionContext),
-		server.WithTransport(standard.NewTransporter),
+		server.WithTransport(newTransporter(options.Logger)),
 		server.WithTLS(options.TLS),
 		server.WithMaxRequestBodySize(options.MaxBody),
 		server.WithIdleTimeout(idleTimeout),
--- a/limpet/limpet.go
+++ b/limpet/limpet.go
@@ -80,7 +80,7 @@
 	if p.secrets, err = config.LoadSecrets(); err != nil {
 		return nil, err
 	}
-	if p.listener, err = listener.New(listener.Options{Network: transport, Address: config.Listen, MaxBody: config.MaxCallBytes}); err != nil {
+	if p.listener, err = listener.New(listener.Options{Network: transport, Address: config.Listen, MaxBody: config.MaxCallBytes, Logger: p.logger}); err != nil {
 		return nil, err
 	}
 	if err := p.build(loggers); err != nil {
