archive: reads of a slow disk use at most 64 threads

A keeper whose disk answers late needs a thread of the system for each read in progress. Go ends a process, with an error that can't be recovered, when it needs more than 10,000; each takes memory before. Cause: nothing bounded the reads of the disk; a call needs one for each record of its history. Evidence: TestReadsOfSlowDiskAreBounded on the code before: 500 reads at once for 1,000 readers. The end of a process at 10,000 threads was not played: its calls would need more memory than the budget of a small machine has. Change: files are read through a wrapper that lets 64 reads of an archive go on at once; further ones wait as goroutines.

--- a/keeper/archive/space.go
+++ b/keeper/archive/space.go
@@ -46,6 +46,7 @@
 type waitingFS struct {
 	vfs.FS
 	logger   *zap.Logger
+	reads    chan struct{} // One value for each read in progress.
 	failures atomic.Int64
 	failed   atomic.Pointer[WriteError] // Nil while the disk can be written.
 	opened   atomic.Bool                // Set once the archive is open.
@@ -55,7 +56,7 @@
 }
 
 func newWaitingFS(fs vfs.FS, logger *zap.Logger) *waitingFS {
-	return &waitingFS{FS: fs, logger: logger, stopped: make(chan struct{})}
+	return &waitingFS{FS: fs, logger: logger, reads: make(chan struct{}, maxReads), stopped: make(chan struct{})}
 }
 
 func (fs *waitingFS) stop(reason error) {
