--- a/keeper/archive/open.go
+++ b/keeper/archive/open.go
@@ -14,6 +14,8 @@
 	"github.com/samber/oops"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
+
+	"limpethall.dev/kernel/task"
 )
 
 const (
@@ -142,7 +144,11 @@
 	}
 	results := make(chan result, 1)
 	go func() {
-		archive, err := o.openLocked(ctx)
+		var archive *Archive
+		err := task.Guard(o.logger, "open the archive", func() (err error) {
+			archive, err = o.openLocked(ctx)
+			return err
+		})
 		results <- result{archive: archive, err: err}
 	}()
 	select {
--- a/keeper/archive/unusable_test.go
+++ b/keeper/archive/unusable_test.go
@@ -136,3 +136,33 @@
 		t.Errorf("files: got %v, want those before, %v", after, before)
 	}
 }
+
+// panickingFS is a file system that panics the first time it lists files.
+type panickingFS struct {
+	vfs.FS
+	panicked atomic.Bool
+}
+
+func (f *panickingFS) List(name string) ([]string, error) {
+	if !f.panicked.Swap(true) {
+		panic("malformed directory")
+	}
+	return f.FS.List(name)
+}
+
+// TestPanicWhileOpening guards against a keeper that ends because opening its archive panics: it
+// must be opened again, and find it unlocked.
+func TestPanicWhileOpening(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	store, err := archive.OpenFS(ctx, &panickingFS{FS: vfs.NewMem()}, "data", zap.NewNop())
+	if err != nil {
+		t.Fatalf("open after a panic: %v", err)
+	}
+	if store.Damaged() {
+		t.Error("archive after a panic: got a damaged one")
+	}
+	if err := closeFully(store); err != nil {
+		t.Errorf("close: %v", err)
+	}
+}
