ratelimit: serve first turns while running programs wait for a loan

Cause: a first turn was refused without asking for a loan whenever a request of a running program waited at the same hall. A hall without slices borrows for nearly each request, so a request that waits for the reply to a loan is the usual case there and says nothing of the limit.

A first turn is refused for those that wait only once one of them tried to borrow a token and got none. Otherwise it borrows for them and itself, and takes a token only if those that wait, and the reserve, keep theirs.

--- a/hall/ratelimit/limiter.go
+++ b/hall/ratelimit/limiter.go
@@ -106,6 +106,7 @@
 type workspaceState struct {
 	bucket    *limit.Bucket
 	waiting   atomic.Int64  // Number of requests that wait for a token.
+	lacking   atomic.Int64  // Number of those that tried to borrow one and got none.
 	borrowing chan struct{} // Semaphore: holds one element while a request borrows.
 	refusals  refusalQueue
 }
@@ -193,18 +194,23 @@
 		return nil
 	}
 	if priority == NewProgram {
-		return l.admitFirstTurn(ctx, workspace, state, admission)
+		return l.admitFirstTurn(ctx, workspace, state, reserve, admission)
 	}
 	return l.waitForToken(ctx, workspace, state, now.Add(maxWait), admission)
 }
 
-// admitFirstTurn borrows once and rejects the request if that yields no token.
-// It does not compete with requests of running programs that are waiting.
-func (l *Limiter) admitFirstTurn(ctx context.Context, workspace string, state *workspaceState, admission *Admission) error {
+// admitFirstTurn borrows once and rejects the request if that yields no token beyond those of
+// the requests of running programs that wait here. It does not compete with them once the
+// workspace lacks tokens for them; before, they only wait for the reply to a loan.
+func (l *Limiter) admitFirstTurn(ctx context.Context, workspace string, state *workspaceState, reserve float64, admission *Admission) error {
 	borrowing := Borrowing{}
-	if state.waiting.Load() == 0 {
-		borrowing = l.borrow(ctx, workspace, NewProgram, state, 1, admission)
-		if now := l.now(); l.shareValid(now) && state.waiting.Load() == 0 && state.bucket.RetryTake(now) {
+	if state.lacking.Load() == 0 {
+		borrowing = l.borrow(ctx, workspace, NewProgram, state, state.waiting.Load()+1, admission)
+		kept := float64(state.waiting.Load())
+		if kept > 0 {
+			kept += reserve
+		}
+		if now := l.now(); l.shareValid(now) && state.lacking.Load() == 0 && state.bucket.RetryTake(now, kept) {
 			return nil
 		}
 	}
@@ -267,15 +273,19 @@
 	if state.bucket.MinQueueDelay(position) > maxWait {
 		return rejection(workspace, state, l.now(), Borrowing{})
 	}
-	for {
+	for attempt := 0; ; attempt++ {
 		borrowing := l.borrow(ctx, workspace, RunningProgram, state, state.waiting.Load(), admission)
 		now := l.now()
 		if !l.shareValid(now) {
 			return failure.New(failure.CodeConfigurationUnknown, failure.NotRun, "this hall cannot confirm its share of the rate limit; retry at another hall")
 		}
-		if state.bucket.RetryTake(now) {
+		if state.bucket.RetryTake(now, 0) {
 			return nil
 		}
+		if attempt == 0 {
+			state.lacking.Add(1)
+			defer state.lacking.Add(-1)
+		}
 		wait := max(minRetryInterval, min(state.bucket.TimeToToken(now), maxRetryInterval))
 		if borrowing.retryAfter > 0 {
 			wait = max(minRetryInterval, min(wait, borrowing.retryAfter))
--- a/kernel/limit/bucket.go
+++ b/kernel/limit/bucket.go
@@ -147,12 +147,12 @@
 	return b.take(now, reserve)
 }
 
-// RetryTake spends one token for a request that got none before. It does not
-// count the request as demand again.
-func (b *Bucket) RetryTake(now time.Time) bool {
+// RetryTake spends one token for a request that got none before, if at least reserve tokens
+// remain. It does not count the request as demand again.
+func (b *Bucket) RetryTake(now time.Time, reserve float64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.take(now, 0)
+	return b.take(now, reserve)
 }
 
 // take spends borrowed tokens before the bucket's own, because only borrowed ones
