turns: end a search for a history when its time is over

Callers got no answer at all: a request whose search for the previous turn found no keeper that replied within 800 ms never ended, whatever its deadline, and kept its memory and its place at the hall.

TestSearchEndsWithoutReplies failed before (5 of 8 requests ended) and passes, also three times with -race.

The search ends with its context, as it does for parts of a history.

--- a/hall/turns/search.go
+++ b/hall/turns/search.go
@@ -112,6 +112,10 @@
 		case result = <-replies:
 		case <-partTimeout:
 			return longest
+		case <-ctx.Done():
+			// The replies that are missing are dropped by those who asked.
+			s.lastErr = ctx.Err()
+			return longest
 		case <-hedge.C:
 			ask(searchWidth)
 			continue
--- a/hall/turns/turns_test.go
+++ b/hall/turns/turns_test.go
@@ -33,6 +33,7 @@
 	lacks       bool          // Whether it lacks the history.
 	err         error         // Error of Begin and Find, nil for none.
 	pause       time.Duration // Before Finish.
+	findPause   time.Duration // Before Find.
 	histories   int           // Sent to halls.
 	finished    []*wire.FinishTurnRequest
 }
@@ -63,6 +64,7 @@
 
 // Find implements wire.Keeper.
 func (k *fakeKeeper) Find(context.Context, *wire.FindTurnRequest) (*wire.FindTurnReply, error) {
+	time.Sleep(k.findPause)
 	return k.history()
 }
 
@@ -272,3 +274,39 @@
 		keeper.mutex.Unlock()
 	}
 }
+
+// TestSearchEndsWithoutReplies guards against requests that never end, and keep their memory,
+// because no keeper replies to the search for the previous turn in time.
+func TestSearchEndsWithoutReplies(t *testing.T) {
+	f := newFixture(t, 1<<20)
+	for _, keeper := range f.keepers {
+		keeper.lacks, keeper.findPause = true, 1500*time.Millisecond
+	}
+	ended := make(chan error)
+	const requests = 8
+	for range requests {
+		go func() {
+			_, account, _, err := f.begin(t, 0)
+			account.Release()
+			ended <- err
+		}()
+	}
+	timeout := time.After(6 * time.Second)
+	for number := range requests {
+		select {
+		case err := <-ended:
+			var unavailable *turns.UnavailableError
+			if !errors.As(err, &unavailable) {
+				t.Errorf("got error %v, want %T", err, unavailable)
+			}
+		case <-timeout:
+			t.Fatalf("got %d requests that ended, want %d", number, requests)
+		}
+	}
+	for end := time.Now().Add(3 * time.Second); f.budget.Used() != 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := f.budget.Used(); got != 0 {
+		t.Errorf("got %d bytes in use after all requests, want 0", got)
+	}
+}
