--- a/kernel/relay/memory_test.go
+++ b/kernel/relay/memory_test.go
@@ -28,7 +28,9 @@
 		t.Fatal(err)
 	}
 	budget := buffer.NewBudget(2 * valueBytes)
-	server := httptest.NewServer(budget.Handler(relay.NewServer(store), valueBytes, time.Second, zap.NewNop()))
+	server := httptest.NewServer(budget.Handler(relay.NewServer(store), buffer.HandlerOptions{
+		MaxBytes: valueBytes, Timeout: time.Second, Priority: func(*http.Request) buffer.Priority { return buffer.PriorityRunning }, Logger: zap.NewNop(),
+	}))
 	defer server.Close()
 	client := wire.NewRelayProtobufClient(server.URL, http.DefaultClient)
 	recall := func() (*wire.RecallReply, error) {
