accept: programs that go on at once keep their connections

Callers saw: beside 3,000 clients that send half of their bodies and come again, most turns of programs refused: the hall asked every client to close while connections used most of their memory, and gave up a program's connection between two turns for a newcomer, whose body it refused then. Cause: both were decided by the memory of all connections, although none of the crowd was idle. Change: a connection is given up only once it has waited for a second, and answers ask to close only while much of the memory is used by connections that wait. Why it works: a program under way goes on within that second, or its connection is as good as any other idle one; newcomers are refused, which costs them a new attempt and programs nothing.

--- a/kernel/accept/accept.go
+++ b/kernel/accept/accept.go
@@ -44,9 +44,9 @@
 	crowdedNumerator, crowdedDenominator = 3, 4
 	// minConnections fit whatever the budget is.
 	minConnections = 8
-	// silentPeriod is how long a new connection may wait for its first request before it is
-	// given up like an idle one.
-	silentPeriod = time.Second
+	// MinWait is how long a connection waits for a request before it may be given up. A program
+	// that goes on at once keeps its connection, and others are refused.
+	MinWait = time.Second
 	// logInterval is the interval at which refused connections are logged.
 	logInterval = time.Second
 )
@@ -120,9 +120,12 @@
 // GivenUp returns the number of connections that were closed while they waited for a request.
 func (l *Limiter) GivenUp() int64 { return l.givenUp.Load() }
 
-// Crowded reports whether most of the memory of connections is in use.
+// Crowded reports whether most of the memory of connections is in use, and much of it by
+// connections that wait for a further request. Otherwise it would not help to close one.
 func (l *Limiter) Crowded() bool {
-	return l.Used() >= l.limit/crowdedDenominator*crowdedNumerator
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.used >= l.limit/crowdedDenominator*crowdedNumerator && int64(l.idle.Len())*ConnectionBytes >= l.limit/crowdedDenominator
 }
 
 // Listener returns a listener that returns only connections for which there is memory.
@@ -217,13 +220,11 @@
 	freed := int64(0)
 	idle, silent := l.idle.Front(), l.silent.Front()
 	for freed < size {
-		var next **list.Element
-		switch {
-		case silent != nil && time.Since(silent.Value.(*conn).waiting) >= silentPeriod:
+		next := &idle
+		if idle == nil || silent != nil && waitedSince(silent).Before(waitedSince(idle)) {
 			next = &silent
-		case idle != nil:
-			next = &idle
-		default:
+		}
+		if *next == nil || time.Since(waitedSince(*next)) < MinWait {
 			return nil, false
 		}
 		victim := (*next).Value.(*conn)
@@ -239,6 +240,8 @@
 	return victims, true
 }
 
+func waitedSince(element *list.Element) time.Time { return element.Value.(*conn).waiting }
+
 func discard(victims []*conn) {
 	for _, victim := range victims {
 		victim.limiter.givenUp.Add(1)
