keeper: count the copies of a finished turn that exist at once

A finished turn was counted four times its size while it was stored; the message as the server has read it is garbage by then, and three are left: decoded, encoded, and in the database's batch.

--- a/keeper/calls.go
+++ b/keeper/calls.go
@@ -20,6 +20,11 @@
 // the reply, encoded, and stored again with a later expiry.
 const reservationBytes = 1 << 10
 
+// storedCopies is how often records are in memory while they are stored, beside what is counted
+// for the message: decoded, encoded, and in the database's batch, of which the message's bytes
+// make room for one.
+const storedCopies = 1
+
 // priorityOf returns the priority of a call. Finished turns have run already, and other keepers
 // repeat what they copy.
 func priorityOf(r *http.Request) buffer.Priority {
@@ -105,8 +110,7 @@
 // Finish implements wire.Keeper.
 func (k *Keeper) Finish(ctx context.Context, request *wire.FinishTurnRequest) (*wire.FinishTurnReply, error) {
 	started := time.Now()
-	// The record is encoded, and copied by the database.
-	err := buffer.FromContext(ctx).Take(2 * int64(proto.Size(request.GetTurn())))
+	err := buffer.FromContext(ctx).Take(storedCopies * int64(proto.Size(request.GetTurn())))
 	if err == nil {
 		err = k.ledger.Finish(started, request)
 	}
@@ -141,8 +145,7 @@
 
 // Take implements wire.Keeper.
 func (k *Keeper) Take(ctx context.Context, page *wire.CopyReply) (*wire.Empty, error) {
-	// The records are encoded, and copied by the database.
-	if err := buffer.FromContext(ctx).Take(k.pageMemory(2, int64(proto.Size(page)))); err != nil {
+	if err := buffer.FromContext(ctx).Take(k.pageMemory(storedCopies, int64(proto.Size(page)))); err != nil {
 		return nil, callError(err)
 	}
 	return &wire.Empty{}, callError(k.ledger.Merge(time.Now(), page))
