keeper: test that small keepers copy records larger than their pages

TestSmallKeeperCopiesLargeRecords: a keeper with 10 MB copies records of 3 MB and then serves all histories or refuses them for memory.

--- a/keeper/memory_test.go
+++ b/keeper/memory_test.go
@@ -26,12 +26,20 @@
 // startKeeper starts a keeper that has a disk of its own and is the only one. It returns its
 // address, once it is ready, and its store.
 func startKeeper(t *testing.T, memoryBytes int64) (address string, store *memory.Store) {
+	t.Helper()
+	store = memory.New(time.Now)
+	return startKeeperAt(t, store, "keeper-1", memoryBytes), store
+}
+
+// startKeeperAt starts a keeper that uses the store, and returns its address once it is ready.
+// keeper-1 is the first one.
+func startKeeperAt(t *testing.T, store *memory.Store, name string, memoryBytes int64) string {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
-	address = listener.Addr().String()
+	address := listener.Addr().String()
 	if err := listener.Close(); err != nil {
 		t.Fatalf("close: %v", err)
 	}
@@ -39,10 +47,9 @@
 	if err != nil {
 		t.Fatalf("metrics: %v", err)
 	}
-	store = memory.New(time.Now)
 	ctx, cancel := context.WithCancel(t.Context())
 	process, err := keeper.New(ctx, keeper.Options{
-		Name: "keeper-1", Zone: "a", Addresses: []string{address}, DataDir: t.TempDir(), Bootstrap: true, Tolerance: 0, MemoryBytes: memoryBytes,
+		Name: name, Zone: name, Addresses: []string{address}, DataDir: t.TempDir(), Bootstrap: name == "keeper-1", Tolerance: 1, MemoryBytes: memoryBytes,
 		Network: network.NewWaiting(ctx, network.TCP{}, zap.NewNop()), Store: store, Meters: meters, Logger: zap.NewNop(),
 	})
 	if err != nil {
@@ -55,12 +62,12 @@
 		cancel()
 		process.Close()
 	})
-	for deadline := time.Now().Add(10 * time.Second); !process.Ready(); time.Sleep(10 * time.Millisecond) {
+	for deadline := time.Now().Add(30 * time.Second); !process.Ready(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("keeper is not ready in 10 s")
+			t.Fatalf("%s is not ready in 30 s", name)
 		}
 	}
-	return address, store
+	return address
 }
 
 // storeChain stores turns that continue each other and returns the last one.
@@ -232,3 +239,27 @@
 	}
 	storeChain(t, client, "q", 3, 20_000)
 }
+
+// TestSmallKeeperCopiesLargeRecords guards against a keeper that never becomes ready, because a
+// record that it has to copy, or to send, is larger than its memory for pages.
+func TestSmallKeeperCopiesLargeRecords(t *testing.T) {
+	const small = 10_000_000
+	address, store := startKeeper(t, 0)
+	client := wire.NewKeeperProtobufClient("http://"+address, http.DefaultClient)
+	defer http.DefaultClient.CloseIdleConnections()
+	lasts := []string{storeChain(t, client, "large", 2, 3_000_000), storeChain(t, client, "small", 200, 5000)}
+	for _, name := range []string{"keeper-2", "keeper-3"} {
+		copied := wire.NewKeeperProtobufClient("http://"+startKeeperAt(t, store, name, small), http.DefaultClient)
+		for index, want := range []int{4, 400} {
+			reply, err := copied.Find(t.Context(), &wire.FindTurnRequest{Turn: lasts[index], Workspace: "w"})
+			if err == nil && len(reply.GetParts()) == want {
+				continue
+			}
+			// A history of turns beyond the memory for calls is refused.
+			var refused twirp.Error
+			if want != 4 || !errors.As(err, &refused) || refused.Code() != twirp.Unavailable {
+				t.Errorf("%s, %s: got %d parts and error %v, want %d parts", name, lasts[index], len(reply.GetParts()), err, want)
+			}
+		}
+	}
+}
