ratelimit: a first turn may use the loan that it asked for

Cause: requests of running programs that began to wait while the first turn's call was under way kept the tokens that it had borrowed for itself, though each of them borrows its own.

--- a/hall/ratelimit/limiter.go
+++ b/hall/ratelimit/limiter.go
@@ -205,9 +205,11 @@
 func (l *Limiter) admitFirstTurn(ctx context.Context, workspace string, state *workspaceState, reserve float64, admission *Admission) error {
 	borrowing := Borrowing{}
 	if state.lacking.Load() == 0 {
-		borrowing = l.borrow(ctx, workspace, NewProgram, state, state.waiting.Load()+1, admission)
-		kept := float64(state.waiting.Load())
-		if kept > 0 {
+		// Requests that begin to wait from now on borrow their own tokens.
+		waiting := state.waiting.Load()
+		borrowing = l.borrow(ctx, workspace, NewProgram, state, waiting+1, admission)
+		kept := float64(waiting)
+		if waiting > 0 {
 			kept += reserve
 		}
 		if now := l.now(); l.shareValid(now) && state.lacking.Load() == 0 && state.bucket.RetryTake(now, kept) {
