turns: refuse a turn while too few keepers are listed to store it

Cause: Begin asked whether the listed keepers answer, not whether they are as many as a quorum.

Such a turn is refused at once with 503 now, before it runs. TestTurnIsRefusedWhileTooFewKeepersAreListed failed before ("1 keepers listed of a quorum of 2: got error <nil>").

--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -179,6 +179,7 @@
 	errNotReady    = errors.New("keeper has not caught up")
 	errUnreachable = errors.New("this hall reaches too few keepers")
 	errNoKeepers   = errors.New("no keepers known")
+	errTooFew      = errors.New("too few keepers are listed to store a turn")
 	errIncomplete  = errors.New("a keeper lacks part of the turn's history or has not caught up")
 )
 
@@ -231,6 +232,9 @@
 	turn.ID, turn.Program = encodable(turn.ID), encodable(turn.Program)
 	turn.Previous, turn.Resumes = encodable(turn.Previous), encodable(turn.Resumes)
 	programKey := turn.Workspace + "/" + turn.Program
+	if listed := len(c.replicas(programKey)); listed < c.rule.Quorum() {
+		return nil, &UnavailableError{operation: "begin the turn", needed: c.rule.Quorum(), cause: errTooFew}
+	}
 	active := &ActiveTurn{turn: turn, programKey: programKey, placement: programKey}
 	if turn.needsReservation() {
 		if err := c.reserve(ctx, active); err != nil {
--- a/hall/turns/turns_test.go
+++ b/hall/turns/turns_test.go
@@ -310,3 +310,25 @@
 		t.Errorf("got %d bytes in use after all requests, want 0", got)
 	}
 }
+
+// TestTurnIsRefusedWhileTooFewKeepersAreListed guards against turns that run at a backend server
+// although they can't be stored afterwards, so that their streams are broken off.
+func TestTurnIsRefusedWhileTooFewKeepersAreListed(t *testing.T) {
+	rule := replication.NewRule(1)
+	for _, test := range []struct {
+		listed int
+		want   bool
+	}{{0, false}, {1, false}, {2, true}} {
+		var members []replication.MemberDocument
+		for index := range test.listed {
+			members = append(members, replication.MemberDocument{Name: fmt.Sprint(index), Zone: fmt.Sprint("zone-", index), Address: "127.0.0.1:1"})
+		}
+		client := turns.New(rule, "zone-0", fixedMembership{list: replication.NewMemberList(1, members)}, func() []host.Member { return nil }, network.TCP{}, buffer.NewBudget(1<<20), zap.NewNop())
+		_, err := client.Begin(t.Context(), turns.Turn{ID: "t1", Program: "p", Retention: time.Minute})
+		var unavailable *turns.UnavailableError
+		if got := err == nil; got != test.want || (err != nil && !errors.As(err, &unavailable)) {
+			t.Errorf("%d keepers listed of a quorum of %d: got error %v, want admitted %t", test.listed, rule.Quorum(), err, test.want)
+		}
+		client.Close()
+	}
+}
