failure: a host that refuses a call for memory is not lost, whatever words it uses

Found by review: halls answer calls that find no memory with the Twirp error "unavailable", without the metadata that failure.IsRefused wanted, and the relay with "resource exhausted". So a busy holder of limits was taken for lost, and another hall decided about its limits at the same time.

IsRefused takes the code "unavailable" of a Twirp error, and tells those that the client makes of other statuses apart; the relay uses buffer.CallError. TestMemoryOfRepliesIsBounded failed before with its new check ("got error twirp error resource_exhausted").

--- a/kernel/failure/twirp.go
+++ b/kernel/failure/twirp.go
@@ -42,5 +42,10 @@
 // read the call, for lack of memory. The host works and may take the next call.
 func IsRefused(err error) bool {
 	var twirpErr twirp.Error
-	return errors.As(err, &twirpErr) && twirpErr.Meta("status_code") == strconv.Itoa(http.StatusServiceUnavailable)
+	if !errors.As(err, &twirpErr) || twirpErr.Code() != twirp.Unavailable {
+		return false
+	}
+	// Twirp clients use the same code for other answers that are no Twirp errors, and add the status.
+	status := twirpErr.Meta("status_code")
+	return status == "" || status == strconv.Itoa(http.StatusServiceUnavailable)
 }
--- a/kernel/relay/memory_test.go
+++ b/kernel/relay/memory_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/buffer"
+	"limpethall.dev/kernel/failure"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/platform/memory"
 	"limpethall.dev/kernel/relay"
@@ -44,8 +45,8 @@
 	if err := other.Take(valueBytes); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := recall(); err == nil {
-		t.Errorf("reply beside another use of memory: got it, want a refusal")
+	if _, err := recall(); !failure.IsRefused(err) {
+		t.Errorf("reply beside another use of memory: got error %v, want a refusal that says that the host works", err)
 	}
 	if got := budget.Used(); got != valueBytes {
 		t.Errorf("got %d bytes in use, want %d", got, valueBytes)
--- a/kernel/relay/relay.go
+++ b/kernel/relay/relay.go
@@ -26,7 +26,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/buffer"
@@ -327,7 +326,7 @@
 	reply := &wire.RecallReply{Known: known, Revision: listing.Revision, AgeMilliseconds: listing.Age.Milliseconds()}
 	// The entries are shared with the cache until the reply is encoded.
 	if err := buffer.FromContext(ctx).Take(size(listing)); err != nil {
-		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+		return nil, buffer.CallError(err)
 	}
 	for _, entry := range listing.Entries {
 		reply.Entries = append(reply.Entries, &wire.StoredEntry{Key: entry.Key, Value: entry.Value, Version: entry.Version})
