turns: a search for a history gives each keeper the time of a call

Found by review, each shown by a run: - A search of one timeout for all marked keepers as failed that it had asked last. With keepers that answer after 720 ms, TestSlowKeepersOfSearchAreNotFailed failed: "1 of 3 keepers answered: context deadline exceeded", and the hall was not ready. Each keeper now has the time of a call; one that is silent when the search ends says nothing. - A history whose decoded rest found no memory was dereferenced as nil: 8 panics in TestHistoryThatJustDoesNotFit before, and its memory was returned twice. - A forwarded reply that breaks off without a length could end as whole. The connection is now aborted (by reading, no test). - Unused connections to keepers are closed after 30 s (by reading, no test).

--- a/hall/turns/caller.go
+++ b/hall/turns/caller.go
@@ -100,8 +100,9 @@
 	}
 	if err != nil || len(parts) == 0 {
 		account.Return(int64(len(raw)))
+		return nil, err
 	}
-	return parts, err
+	return parts, nil
 }
 
 // call sends an encoded request and returns the encoded reply, which the account of the
--- a/hall/turns/forward.go
+++ b/hall/turns/forward.go
@@ -102,5 +102,6 @@
 	w.WriteHeader(response.StatusCode)
 	if _, err := io.Copy(w, response.Body); err != nil {
 		c.logger.Info("forwarding a keeper's response failed", zap.String("keeper", address), zap.Error(err))
+		panic(http.ErrAbortHandler) // The other hall must not take it for whole.
 	}
 }
--- a/hall/turns/search.go
+++ b/hall/turns/search.go
@@ -87,16 +87,17 @@
 // a part, it waits no longer than hedgeDelay for more replies.
 //
 // Each reply may hold a whole chain, so it asks one keeper first, and searchWidth more for each
-// reply that does not settle the search and after each hedgeDelay.
+// reply that does not settle the search and after each hedgeDelay. Each keeper has callTimeout to
+// answer. One that is still silent when the search ends has not failed.
 func (s *turnSearch) query(ctx context.Context, keepers []replication.Keeper) *wire.FindTurnReply {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	searchCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	keepers = slices.DeleteFunc(slices.Clone(keepers), func(keeper replication.Keeper) bool { return s.queried[keeper.Name] })
 	replies := make(chan callResult)
 	pending := 0
 	ask := func(count int) {
 		for range min(count, len(keepers)) {
-			s.ask(ctx, keepers[0], replies)
+			s.ask(searchCtx, keepers[0], replies)
 			keepers = keepers[1:]
 			pending++
 		}
@@ -160,13 +161,15 @@
 	account.Hold()
 	go func() {
 		defer account.Release()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
 		caller, route := s.client.callerOf(keeper)
 		var reply *wire.FindTurnReply
 		err := task.Guard(s.client.logger, "turn search", func() (err error) {
-			reply, err = caller.find(ctx, s.request)
+			reply, err = caller.find(callCtx, s.request)
 			return err
 		})
-		s.client.recordResult(ctx, keeper, route, err)
+		s.client.recordResult(callCtx, keeper, route, err)
 		select {
 		case replies <- callResult{reply: reply, err: err}:
 		case <-ctx.Done():
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -53,6 +53,8 @@
 	settleTimeout = 2 * time.Second
 	// maxIdleConnsPerKeeper is how many idle connections to a keeper are kept.
 	maxIdleConnsPerKeeper = 8
+	// idleTimeout is how long an unused connection is kept, less than keepers and halls keep it.
+	idleTimeout = 30 * time.Second
 	// connectionBufferBytes is the size of a connection's buffers. Most of a large message is
 	// read and written without them.
 	connectionBufferBytes = 4 << 10
@@ -213,7 +215,7 @@
 // memory bounds what their calls keep.
 func New(rule replication.Rule, zone string, keepers Membership, otherHalls func() []host.Member, dialer network.Network, memory *buffer.Budget, logger *zap.Logger) *Client {
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerKeeper, DisableCompression: true,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerKeeper, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		WriteBufferSize: connectionBufferBytes, ReadBufferSize: connectionBufferBytes,
 	}
 	return &Client{
--- a/hall/turns/turns_test.go
+++ b/hall/turns/turns_test.go
@@ -22,6 +22,7 @@
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/replication"
+	"limpethall.dev/kernel/task"
 	"limpethall.dev/kernel/wire"
 )
 
@@ -332,3 +333,55 @@
 		client.Close()
 	}
 }
+
+// TestHistoryThatJustDoesNotFit guards against a panic, and a keeper that counts as failed, when
+// the memory for a history ends between its bytes and its decoded rest.
+func TestHistoryThatJustDoesNotFit(t *testing.T) {
+	parts := [][]byte{bytes.Repeat([]byte("in"), 50_000), bytes.Repeat([]byte("out"), 50_000)}
+	refused, panics := 0, task.Panics()
+	for _, tokenBudget := range tokenBudgets {
+		for extra := int64(0); extra <= 400; extra += 20 {
+			f := newFixture(t, 250_000+extra, parts...)
+			_, account, active, err := f.begin(t, tokenBudget)
+			var full *buffer.FullError
+			var unavailable *turns.UnavailableError
+			switch {
+			case err == nil && len(active.History()) == len(parts):
+			case errors.As(err, &full) && errors.As(err, &unavailable):
+				refused++
+			default:
+				t.Errorf("budget of %d bytes more than the history: got error %v, want the history or a refusal for memory", extra, err)
+			}
+			if !f.client.QuorumReachable() {
+				t.Errorf("budget of %d bytes more than the history: got keepers that count as failed, want none", extra)
+			}
+			account.Release()
+		}
+	}
+	if refused == 0 {
+		t.Error("got no refusal, want some")
+	}
+	if got := task.Panics() - panics; got != 0 {
+		t.Errorf("got %d panics, want none", got)
+	}
+}
+
+// TestSlowKeepersOfSearchAreNotFailed guards against halls that are not ready because a search
+// for a history ended before the keepers that it asked last had the time of a call.
+func TestSlowKeepersOfSearchAreNotFailed(t *testing.T) {
+	f := newFixture(t, 1<<20, []byte("in"), []byte("out"))
+	for _, keeper := range f.keepers {
+		keeper.findPause = 720 * time.Millisecond
+		keeper.lacks = true
+	}
+	f.keepers[2].lacks = false // It is asked last.
+	_, account, active, err := f.begin(t, 0)
+	defer account.Release()
+	if err != nil || len(active.History()) != 2 {
+		t.Errorf("got error %v, want the history", err)
+	}
+	time.Sleep(300 * time.Millisecond) // In which the other keepers' calls end.
+	if !f.client.QuorumReachable() {
+		t.Error("got keepers that count as failed, want none")
+	}
+}
