gateway: leave time for the answer of a turn that is being stored

Found by review, by reading: the deadline for writing is a second after that of the request, but storing the turn may take two seconds after its last event. Then the turn was stored, and its caller saw a broken stream. The end of the stream has that time now. A program that goes on is again the most recent of the known ones.

--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -314,7 +314,8 @@
 
 func (h *requestHandler) recordProgram() {
 	if h.request.Program != "" {
-		_, _ = h.gateway.knownPrograms.ContainsOrAdd(h.request.Program, lastTurn{})
+		last, _ := h.gateway.knownPrograms.Get(h.request.Program)
+		h.gateway.knownPrograms.Add(h.request.Program, last)
 	}
 }
 
--- a/hall/gateway/memory.go
+++ b/hall/gateway/memory.go
@@ -79,3 +79,9 @@
 	// Fails only if the connection is closed, or has no deadlines.
 	_ = http.NewResponseController(h.writer).SetWriteDeadline(h.deadline.Add(writeGracePeriod))
 }
+
+// extendWriting leaves time to write the end of a response whose turn is stored first.
+func (h *requestHandler) extendWriting() {
+	// Fails only if the connection is closed, or has no deadlines.
+	_ = http.NewResponseController(h.writer).SetWriteDeadline(time.Now().Add(finishTimeout + writeGracePeriod))
+}
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -181,6 +181,7 @@
 		h.settleTurn(progress)
 		return
 	}
+	h.extendWriting()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
 	if err := h.gateway.options.Turns.Finish(ctx, h.turn, h.producedTokens(progress), h.request.Body, progress.output.Bytes()); err != nil {
