keeper: bound headers, idle connections and replies of other keepers

Found by review: a header of 900 KB was read, connections were kept for ever, and a reply with a length was read however long it was. Connections are still not counted (by design of their number: a keeper has as many callers as there are hosts).

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -72,6 +72,11 @@
 	drainTimeout = time.Second
 	// headerTimeout bounds reading the headers of a request.
 	headerTimeout = 5 * time.Second
+	// maxHeaderBytes limits the headers of a call. Halls and keepers send few.
+	maxHeaderBytes = 16 << 10
+	// idleTimeout bounds the time for which an unused connection stays open. Halls and keepers
+	// close theirs sooner.
+	idleTimeout = 90 * time.Second
 	// callTimeout bounds reading the message of a call, and writing its reply.
 	callTimeout = 5 * time.Second
 	// maxCallBytes limits the message of a call. It leaves room for a page of records whose
@@ -167,7 +172,7 @@
 	if err != nil {
 		return nil, errors.Join(oops.In("keeper").Wrapf(err, "listen for halls and keepers"), disk.Abandon())
 	}
-	transport := &http.Transport{DialContext: options.Network.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	transport := &http.Transport{DialContext: options.Network.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout / 3, DisableCompression: true}
 	k := &Keeper{
 		options: options, listener: listener, logger: options.Logger, rule: replication.NewRule(options.Tolerance),
 		archive: disk, ledger: records, instruments: instruments, calls: calls, membership: replication.NewMembership(options.Store, options.Logger),
@@ -187,7 +192,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", calls.Handler(k.historyHandler(wire.NewKeeperServer(k)), buffer.HandlerOptions{MaxBytes: maxCallBytes, Timeout: callTimeout, Priority: priorityOf, Logger: options.Logger}))
 	mux.Handle("/metrics", options.Meters.Handler())
-	k.server = httpserver.New(&http.Server{Handler: recipient.Handler(host.KindKeeper, options.Name, mux), ReadHeaderTimeout: headerTimeout}, options.Logger)
+	k.server = httpserver.New(&http.Server{Handler: recipient.Handler(host.KindKeeper, options.Name, mux), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, options.Logger)
 	return k, nil
 }
 
--- a/keeper/pages.go
+++ b/keeper/pages.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -61,6 +62,14 @@
 	return wire.NewKeeperProtobufClient("http://"+member.Address, &countingClient{client: client, keeper: k, account: account})
 }
 
+// replyTooLongError reports a reply that no keeper sends.
+type replyTooLongError struct{ length int64 }
+
+// Error states the length.
+func (e *replyTooLongError) Error() string {
+	return fmt.Sprintf("reply of %d bytes, of at most %d", e.length, maxCallBytes)
+}
+
 // countingClient counts the records of replies.
 type countingClient struct {
 	client  *recipient.Client
@@ -74,9 +83,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if response.ContentLength >= 0 {
+	switch {
+	case response.ContentLength > maxCallBytes:
+		err = &replyTooLongError{length: response.ContentLength}
+	case response.ContentLength >= 0:
 		err = c.keeper.waitForPage(request.Context(), c.account, receivedCopies, response.ContentLength)
-	} else {
+	default:
 		err = c.read(response)
 	}
 	if err != nil {
