connection: limit the header of a response

Found by review: a backend server that sent 120 MB of header took them all into the hall's memory, because the HTTP library has no limit there. TestLongHeaderOfResponseIsRefused can't be built on the former code, which read 4 MB.

--- a/kernel/connection/connection.go
+++ b/kernel/connection/connection.go
@@ -37,6 +37,8 @@
 	// response is read. A larger one is written concurrently, since the server may
 	// respond without reading it.
 	maxInlineBodyBytes = 16 << 10
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 256 << 10
 	// maxMismatchedResponses is the maximum number of skipped responses to other
 	// requests; informational (1xx) responses count too.
 	maxMismatchedResponses = 2
@@ -100,6 +102,7 @@
 // pooledConn is an open connection.
 type pooledConn struct {
 	socket    net.Conn
+	header    *headerReader // From which reader reads.
 	reader    *bufio.Reader
 	address   string
 	idleUntil time.Time // End of the time in which the idle connection is reusable.
@@ -245,7 +248,9 @@
 // read reads responses up to the header of the one that matches the request.
 func (e *Exchange) read(request *http.Request, matches func(*http.Response) bool) error {
 	for range maxMismatchedResponses + 1 {
+		e.conn.header.limit(maxHeaderBytes)
 		response, err := http.ReadResponse(e.conn.reader, request)
+		e.conn.header.unlimit()
 		if err != nil {
 			return err
 		}
@@ -308,7 +313,8 @@
 		p.releaseSlot(address)
 		return nil, err
 	}
-	return &pooledConn{socket: socket, reader: bufio.NewReaderSize(socket, bufferSizeBytes), address: address}, nil
+	header := &headerReader{reader: socket}
+	return &pooledConn{socket: socket, header: header, reader: bufio.NewReaderSize(header, bufferSizeBytes), address: address}, nil
 }
 
 func (p *Pool) release(conn *pooledConn, response *http.Response) {
--- a/kernel/connection/connection_test.go
+++ b/kernel/connection/connection_test.go
@@ -227,3 +227,27 @@
 		}
 	}
 }
+
+// TestLongHeaderOfResponseIsRefused guards against a server whose header takes the memory of the
+// process.
+func TestLongHeaderOfResponseIsRefused(t *testing.T) {
+	for _, test := range []struct {
+		headerBytes int
+		want        bool
+	}{{64 << 10, true}, {4 << 20, false}} {
+		address := startServer(t, func(_ int, reader *bufio.Reader, socket net.Conn) {
+			for readRequest(reader) {
+				_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\nX-Long: "+strings.Repeat("x", test.headerBytes)+"\r\n\r\n11")
+			}
+		})
+		pool := connection.NewPool(network.TCP{})
+		for range 2 {
+			got, err := send(t, pool, address, "a", "in")
+			var tooLong *connection.HeaderTooLongError
+			if (test.want && (err != nil || got != "11")) || (!test.want && !errors.As(err, &tooLong)) {
+				t.Errorf("header of %d bytes: got %q and error %v, want it read %t", test.headerBytes, got, err, test.want)
+			}
+		}
+		pool.Close()
+	}
+}
