callerid: keep long IDs of callers as a hash

Found by review: the caches of programs, objects and turns hold some thousand entries, whatever the length of an ID, which only the header limits: 1,000 requests with program IDs of 100 KB took 101 MB of a gateway's heap for good. Keepers keep them in their index.

IDs of over 512 bytes are hashed where they are read and where keepers are called; the headers to backend servers stay as they are. Halls of earlier versions store such turns under their whole IDs, so a program with long IDs can't be continued across the update.

--- a/hall/gateway/memory.go
+++ b/hall/gateway/memory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"limpethall.dev/kernel/buffer"
+	"limpethall.dev/kernel/callerid"
 )
 
 const (
@@ -70,7 +71,7 @@
 	for _, part := range h.body {
 		bytes += int64(len(part))
 	}
-	h.gateway.knownPrograms.Add(h.request.Program, lastTurn{workspace: h.workspaceName(), turn: h.request.ID, bytes: bytes})
+	h.gateway.knownPrograms.Add(h.request.Program, lastTurn{workspace: h.workspaceName(), turn: callerid.Bound(h.request.ID), bytes: bytes})
 }
 
 // limitWriting bounds how long a caller that reads slowly, or nothing, makes the hall keep the
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -29,6 +29,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/kernel/buffer"
+	"limpethall.dev/kernel/callerid"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/replication"
@@ -84,8 +85,10 @@
 }
 
 // encodable returns an ID that a caller chose in a form that messages to keepers can hold:
-// these reject text that is not UTF-8. No ID from a header contains the prefix.
+// these reject text that is not UTF-8, and keepers keep IDs in memory. No ID from a header
+// contains the prefix.
 func encodable(id string) string {
+	id = callerid.Bound(id)
 	if utf8.ValidString(id) {
 		return id
 	}
