--- a/kernel/relay/memory_test.go
+++ b/kernel/relay/memory_test.go
@@ -21,11 +21,11 @@
 func TestMemoryOfRepliesIsBounded(t *testing.T) {
 	const valueBytes = 1 << 20
 	service := memory.New(time.Now)
-	if _, err := service.CompareAndSwap(t.Context(), "op/config", make([]byte, valueBytes), 0, 0); err != nil {
+	if _, err := service.CompareAndSwap(t.Context(), "tables/large", make([]byte, valueBytes), 0, 0); err != nil {
 		t.Fatal(err)
 	}
 	store := relay.New(service, relay.Options{Network: network.TCP{}}, time.Now, zap.NewNop())
-	if _, err := store.List(t.Context(), "op/"); err != nil {
+	if _, err := store.List(t.Context(), "tables/"); err != nil {
 		t.Fatal(err)
 	}
 	budget := buffer.NewBudget(2 * valueBytes)
@@ -35,7 +35,7 @@
 	defer server.Close()
 	client := wire.NewRelayProtobufClient(server.URL, http.DefaultClient)
 	recall := func() (*wire.RecallReply, error) {
-		return client.Recall(t.Context(), &wire.RecallRequest{Prefix: "op/"})
+		return client.Recall(t.Context(), &wire.RecallRequest{Prefix: "tables/"})
 	}
 	if reply, err := recall(); err != nil || len(reply.GetEntries()) != 1 {
 		t.Errorf("reply that fits: got %d entries, %v, want one", len(reply.GetEntries()), err)
--- a/kernel/watch/watch_test.go
+++ b/kernel/watch/watch_test.go
@@ -279,7 +279,7 @@
 		put := func() {
 			t.Helper()
 			value = append([]byte{byte(version)}, value[1:]...)
-			entry, err := service.CompareAndSwap(t.Context(), "op/config", value, version, 0)
+			entry, err := service.CompareAndSwap(t.Context(), "tables/large", value, version, 0)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -289,7 +289,7 @@
 		first := version
 		watched := func(after uint64) (platform.Changes, error) {
 			t.Helper()
-			return store.Watch(t.Context(), "op/", after)
+			return store.Watch(t.Context(), "tables/", after)
 		}
 		idle := make(chan error, 1)
 		go func() {
