--- a/hall/balance/balance_test.go
+++ b/hall/balance/balance_test.go
@@ -38,7 +38,7 @@
 // history at another server.
 func TestProgramStaysAtItsServer(t *testing.T) {
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	publish(directory, backend.Options{ID: "one", Zone: "a"}, backend.Options{ID: "two", Zone: "a"}, backend.Options{ID: "three", Zone: "b"})
 	first := choose(t, b, "program")
 	first.SetAffinity(time.Now(), balance.Query{Service: modelService, AffinityKey: "program"})
@@ -67,7 +67,7 @@
 		var chosen []string
 		for range 2 {
 			directory := backend.NewDirectory()
-			b := balance.New("a", directory, func() int { return 2 })
+			b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 2 }})
 			publish(directory, options...)
 			chosen = append(chosen, choose(t, b, key).Server().ID())
 		}
@@ -81,7 +81,7 @@
 // than its portion of the cold rate in any second.
 func TestColdServerGetsPortionOfOneHall(t *testing.T) {
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 5 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 5 }})
 	now := time.Now()
 	publish(directory, backend.Options{ID: "cold", Zone: "a", ColdUntil: now.Add(time.Minute)})
 	sent := 0
@@ -118,7 +118,7 @@
 	for range halls {
 		directory := backend.NewDirectory()
 		publish(directory, backend.Options{ID: "cold", Zone: "a", ColdUntil: start.Add(time.Minute)})
-		balancers = append(balancers, balance.New("a", directory, func() int { return halls }))
+		balancers = append(balancers, balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return halls }}))
 	}
 	var sends []time.Time
 	for now := start; now.Before(start.Add(duration)); now = now.Add(step) {
@@ -151,7 +151,7 @@
 // and used again after failureWindow.
 func TestFailedServerIsUsedLast(t *testing.T) {
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	publish(directory, backend.Options{ID: "near", Zone: "a"}, backend.Options{ID: "far", Zone: "b"})
 	now := time.Now()
 	chooseAt := func(now time.Time) string {
@@ -210,7 +210,7 @@
 // limit of a server although another one is faster, and against limits that are not used.
 func TestLimitedServerIsUsedWhileItsWaitIsShort(t *testing.T) {
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	publish(directory, backend.Options{ID: "limited", Zone: "a"}, backend.Options{ID: "free", Zone: "b"})
 	query := balance.Query{Service: modelService, Limit: limitOf("limited"), MaxWait: 500 * time.Millisecond}
 	now := time.Now()
@@ -241,7 +241,7 @@
 // Running programs may queue.
 func TestProgramsAreNotStartedAtFullServers(t *testing.T) {
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	publish(directory, backend.Options{ID: "limited", Zone: "a"}, backend.Options{ID: "free", Zone: "a"})
 	now := time.Now()
 	running := balance.Query{Service: modelService, Limit: limitOf("limited"), MaxWait: 100 * time.Millisecond}
--- a/hall/balance/object_test.go
+++ b/hall/balance/object_test.go
@@ -25,7 +25,7 @@
 		chosen := make(map[string]bool)
 		for _, zone := range []string{"a", "b", "c"} {
 			directory := backend.NewDirectory()
-			b := balance.New(zone, directory, func() int { return 3 })
+			b := balance.New(balance.Options{Zone: zone, Directory: directory, HallCount: func() int { return 3 }})
 			publish(directory, servers...)
 			choice, err := b.Choose(time.Now(), objectQuery(object))
 			if err != nil {
@@ -44,7 +44,7 @@
 func TestObjectHasSecondChoice(t *testing.T) {
 	servers := newServers("a", 5)
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	publish(directory, servers...)
 	now := time.Now()
 	first, err := b.Choose(now, objectQuery("pallet"))
@@ -69,7 +69,7 @@
 	}
 	publish(directory, remaining...)
 	for _, zone := range []string{"a", "b"} {
-		other := balance.New(zone, directory, func() int { return 1 })
+		other := balance.New(balance.Options{Zone: zone, Directory: directory, HallCount: func() int { return 1 }})
 		if choice, err := other.Choose(now, objectQuery("pallet")); err != nil || choice.Server().ID() != second.Server().ID() {
 			t.Errorf("server after the first choice left: got error %v or another, want %s", err, second.Server().ID())
 		}
@@ -81,7 +81,7 @@
 func TestHotObjectDoesNotOverloadItsServer(t *testing.T) {
 	const slots = 8
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	publish(directory, newServers("a", 4)...)
 	open := make(map[string]int)
 	for range 4 * slots {
--- a/hall/balance/prompt_test.go
+++ b/hall/balance/prompt_test.go
@@ -19,7 +19,7 @@
 func headServersOf(t *testing.T, service *catalog.Service, servers []backend.Options, head string, count int, start time.Time, interval time.Duration) map[string]bool {
 	t.Helper()
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	publish(directory, servers...)
 	chosen := make(map[string]bool)
 	for number := range count {
@@ -81,7 +81,7 @@
 func TestPromptGoesToServerThatReadIt(t *testing.T) {
 	service := &catalog.Service{Name: "models", Slots: 8}
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	publish(directory, newServers("a", 6)...)
 	now := time.Now()
 	first, err := b.Choose(now, newQuery(service, "head", "program", 1000))
@@ -167,7 +167,7 @@
 	directory := backend.NewDirectory()
 	var balancers []*balance.Balancer
 	for range halls {
-		balancers = append(balancers, balance.New("a", directory, func() int { return halls }))
+		balancers = append(balancers, balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return halls }}))
 	}
 	publish(directory, newServers("a", zoneServers)...)
 	servers := make(map[string]*cachingServer)
@@ -212,7 +212,7 @@
 // has servers of its own in each.
 func TestFirstPartInTwoServices(t *testing.T) {
 	directory := backend.NewDirectory()
-	b := balance.New("a", directory, func() int { return 1 })
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	var servers []backend.Server
 	for _, service := range []string{"small", "large"} {
 		for index := range 12 {
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -212,7 +212,7 @@
 	})
 	f.catalog = current
 	directory := backend.NewDirectory()
-	balancer := balance.New("a", directory, func() int { return 1 })
+	balancer := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
 	var servers []backend.Server
 	for index := range 4 {
 		servers = append(servers, backend.NewServer(backend.Options{ID: fmt.Sprintf("server-%d", index), Zone: "a", Service: "models", Slots: 8}))
