connection: detect responses that are reset during an upload, and invalid statuses

A server answered a long upload at once with 200 and no length, sent a part of its body and reset the connection while the request was still being written. The system reports the reset once. When the writer received it, the reader saw a plain end of the connection, and callers got the part as a whole response. Such a response now counts as whole only if the request was written completely. A status outside of 100 to 599, such as 000, was relayed as a response; it is now an incomplete one.

TestEarlyResponseThatIsResetIsBroken and TestResponseWithInvalidStatusIsBroken failed before: got "part" as its whole body; got "no" and no error for 000, 099, 600 and 999.

--- a/kernel/connection/connection.go
+++ b/kernel/connection/connection.go
@@ -155,7 +155,7 @@
 	conn              *pooledConn
 	response          *http.Response
 	stopCloseOnCancel func() bool
-	writeResult       chan error // Nil if the request was written before the response was read.
+	writing           *writeResult // Nil if the request was written before the response was read.
 	reusable          bool
 	closed            bool
 }
@@ -170,7 +170,7 @@
 		return
 	}
 	e.closed = true
-	complete := e.isResponseConsumed() && e.isRequestWritten()
+	complete := e.isRequestWritten() && e.isResponseConsumed()
 	if !e.stopCloseOnCancel() || !complete || !e.reusable || e.conn.reader.Buffered() > 0 {
 		e.pool.discard(e.conn)
 		return
@@ -185,15 +185,7 @@
 }
 
 func (e *Exchange) isRequestWritten() bool {
-	if e.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-e.writeResult:
-		return err == nil
-	default:
-		return false
-	}
+	return e.writing == nil || e.writing.isWritten()
 }
 
 // Send sends a request and returns after the header of the response has arrived. At
@@ -240,8 +232,8 @@
 	if request.ContentLength >= 0 && request.ContentLength <= maxInlineBodyBytes {
 		return writeRequest()
 	}
-	e.writeResult = make(chan error, 1)
-	go func() { e.writeResult <- writeRequest() }()
+	e.writing = newWriteResult()
+	e.writing.run(writeRequest)
 	return nil
 }
 
@@ -254,10 +246,16 @@
 		if err != nil {
 			return err
 		}
+		if err := checkStatus(response); err != nil {
+			return err
+		}
 		if response.StatusCode/100 == 1 {
 			continue
 		}
 		if matches(response) {
+			if e.writing != nil && isUnframed(response) {
+				response.Body = &unframedBody{ReadCloser: response.Body, request: e.writing}
+			}
 			e.response = response
 			e.reusable = e.reusable && !response.Close
 			return nil
