--- a/limpet/plain/client.go
+++ b/limpet/plain/client.go
@@ -18,6 +18,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"limpethall.dev/kernel/failure"
@@ -28,6 +29,9 @@
 const (
 	chunkBytes      = 64 << 10
 	requestIDHeader = "X-Request-Id"
+	// Statuses outside of this range are not those of HTTP.
+	minStatus = 100
+	maxStatus = 599
 )
 
 // forwardedHeaders are the response headers that are forwarded to the caller.
@@ -88,6 +92,8 @@
 	if err != nil {
 		return nil, failure.New(failure.CodeBadRequest, failure.NotRun, "invalid request: %v", err)
 	}
+	writing := newWriteResult()
+	request = request.WithContext(httptrace.WithClientTrace(ctx, writing.trace()))
 	request.GetBody = nil // Prevents the transport from resending the request.
 	for _, header := range call.GetHeaders() {
 		request.Header.Add(header.GetName(), header.GetValue())
@@ -105,8 +111,41 @@
 	if echoed := response.Header.Get(requestIDHeader); echoed != "" && echoed != callID {
 		return nil, failure.New(failure.CodeOutcomeUnknown, failure.Unknown, "the response belongs to a different request")
 	}
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return nil, failure.New(failure.CodeOutcomeUnknown, failure.Unknown, "the service sent the invalid status %q; the request may have run", response.Status)
+	}
 	onHead(responseHead(response))
-	return readBody(response.Body, onData)
+	end, err := readBody(response.Body, onData)
+	if err == nil && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !writing.isWritten(ctx) {
+		return nil, truncated(end.BodyBytes)
+	}
+	return end, err
+}
+
+// writeResult is the result of writing a request. The system reports a reset of the connection
+// once. If the writer receives the error, the reader sees the end of the connection alone, so
+// a response that ends with its connection is whole only if the request was written.
+type writeResult struct{ written chan error }
+
+func newWriteResult() *writeResult { return &writeResult{written: make(chan error, 1)} }
+
+func (r *writeResult) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		select {
+		case r.written <- info.Err:
+		default:
+		}
+	}}
+}
+
+// isWritten waits for the result and reports whether the request was written completely.
+func (r *writeResult) isWritten(ctx context.Context) bool {
+	select {
+	case err := <-r.written:
+		return err == nil
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // readBody reads a response to its end. One without a length and without chunks ends with
@@ -124,11 +163,15 @@
 			return end, nil
 		}
 		if err != nil {
-			return nil, failure.New(failure.CodeTruncatedAnswer, failure.Ran, "the service ran the request, but its response was truncated after %d bytes", end.BodyBytes)
+			return nil, truncated(end.BodyBytes)
 		}
 	}
 }
 
+func truncated(bodyBytes int64) error {
+	return failure.New(failure.CodeTruncatedAnswer, failure.Ran, "the service ran the request, but its response was truncated after %d bytes", bodyBytes)
+}
+
 func classifySendError(ctx context.Context, err error) error {
 	var dial *dialError
 	if errors.As(err, &dial) {
--- a/limpet/plain/client_test.go
+++ b/limpet/plain/client_test.go
@@ -73,3 +73,33 @@
 		}
 	}
 }
+
+// TestEarlyAnswerThatIsResetIsTruncated guards against taking the beginning of an answer for
+// all of it: a service answers a long upload before it has read it, without a length, and
+// resets the connection while the upload is written. The writer may consume the error of the
+// connection, so that the reader sees its end alone. It is repeated, as both of them race.
+func TestEarlyAnswerThatIsResetIsTruncated(t *testing.T) {
+	upload := make([]byte, 16<<20)
+	for range 40 {
+		client := plain.New(network.TCP{}, serveOnce(t, "HTTP/1.1 200 OK\r\n\r\npart", true))
+		_, err := client.Call(t.Context(), "call-1", &wire.ServiceCall{Method: http.MethodPost, Path: "/", Body: upload}, true, func(*wire.ServiceHead) {}, func([]byte) {})
+		var failed *failure.Error
+		if !errors.As(err, &failed) || (failed.Code() != failure.CodeTruncatedAnswer && failed.Code() != failure.CodeOutcomeUnknown) {
+			t.Fatalf("answer that was reset: got %v, want a truncated answer or an unknown outcome", err)
+		}
+	}
+}
+
+// TestAnswerWithInvalidStatusIsUnknown guards against passing on an answer whose status is not
+// one of HTTP, such as 000 of a service in trouble.
+func TestAnswerWithInvalidStatusIsUnknown(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		client := plain.New(network.TCP{}, serveOnce(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 2\r\n\r\nno", false))
+		passedOn := false
+		_, err := client.Call(t.Context(), "call-1", &wire.ServiceCall{Method: http.MethodGet, Path: "/"}, true, func(*wire.ServiceHead) { passedOn = true }, func([]byte) {})
+		var failed *failure.Error
+		if !errors.As(err, &failed) || failed.Code() != failure.CodeOutcomeUnknown || passedOn {
+			t.Errorf("status %s: got %v, passed on: %t, want an unknown outcome", status, err, passedOn)
+		}
+	}
+}
