platform/engine: read load reports with four figures

Servers that share their machines add how long work takes there. Reports with this figure were dropped as malformed, so halls knew only their own requests.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -97,6 +97,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the server's machine at this moment, in percent of the
+	// usual time; zero if not stated.
+	Pace int
 }
 
 // Balancer selects backend servers. It is safe for concurrent use.
