hall/outlier: compare backend servers with each other

Decayed evidence of answers, failures, silence and speed for each server, an ejection of those that fail clearly more often than their peers, and the messages with which halls share it. Not used yet.

--- /dev/null
+++ b/hall/outlier/exchange.go
@@ -0,0 +1,110 @@
+package outlier
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"limpethall.dev/kernel/wire"
+)
+
+const (
+	// maxShared bounds the servers in one message to another hall.
+	maxShared = 64
+	// maxHalls bounds the halls whose evidence about one server is kept.
+	maxHalls = 64
+	// maxEvidenceAge is the age above which evidence of other halls is not used.
+	maxEvidenceAge = 15 * time.Second
+	// maxSharedWeight bounds what one hall can add to the evidence about a server.
+	maxSharedWeight = 100
+)
+
+// sharedEvidence is the evidence of another hall.
+type sharedEvidence struct {
+	evidence evidence
+	sequence uint64
+}
+
+// Summary returns the newest evidence of this hall.
+func (d *Detector) Summary() *wire.ObservationSummary {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.now()
+	summary := &wire.ObservationSummary{Hall: d.ownName}
+	for name, service := range d.services {
+		for id, known := range service.servers {
+			if now.Sub(known.own.at) > maxEvidenceAge || known.sequence == 0 {
+				continue
+			}
+			summary.Servers = append(summary.Servers, known.own.toWire(now, d.ownName, name, id, known.sequence))
+			for hall, other := range known.others {
+				if now.Sub(other.evidence.at) < maxEvidenceAge {
+					summary.Servers = append(summary.Servers, other.evidence.toWire(now, hall, name, id, other.sequence))
+				}
+			}
+		}
+	}
+	if len(summary.Servers) > maxShared {
+		slices.SortFunc(summary.Servers, func(a, b *wire.ServerObservation) int { return int(a.GetAgeMilliseconds() - b.GetAgeMilliseconds()) })
+		summary.Servers = summary.Servers[:maxShared]
+	}
+	return summary
+}
+
+// Exchange adds the evidence of another hall and returns that of this one.
+func (d *Detector) Exchange(summary *wire.ObservationSummary) *wire.ObservationSummary {
+	d.Merge(summary)
+	return d.Summary()
+}
+
+// Merge adds the evidence in the summary of another hall. Evidence that is known already does
+// not count again, whoever passes it on.
+func (d *Detector) Merge(summary *wire.ObservationSummary) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.now()
+	for _, observed := range summary.GetServers()[:min(len(summary.GetServers()), maxShared)] {
+		age := time.Duration(observed.GetAgeMilliseconds()) * time.Millisecond
+		if observed.GetHall() == d.ownName || observed.GetHall() == "" || age < 0 || age > maxEvidenceAge {
+			continue
+		}
+		service := d.services[observed.GetService()]
+		if service == nil {
+			continue // This hall sends the service nothing.
+		}
+		known := service.record(observed.GetServer())
+		last, found := known.others[observed.GetHall()]
+		at := now.Add(-age)
+		if (found && last.sequence >= observed.GetSequence()) || !at.After(known.ejectedAt) || (!found && len(known.others) >= maxHalls) {
+			continue
+		}
+		known.others[observed.GetHall()] = sharedEvidence{evidence: fromWire(observed, at), sequence: observed.GetSequence()}
+	}
+}
+
+func (e evidence) toWire(now time.Time, hall, service, server string, sequence uint64) *wire.ServerObservation {
+	age := now.Sub(e.at)
+	return &wire.ServerObservation{
+		Hall: hall, Service: service, Server: server, Sequence: sequence, AgeMilliseconds: age.Milliseconds(),
+		Answers: e.answers, Failures: e.failures, Silences: e.silences, Slowness: e.logSlowness, SlownessWeight: e.speedWeight,
+	}
+}
+
+func fromWire(observed *wire.ServerObservation, at time.Time) evidence {
+	speedWeight, slowness := sharedWeight(observed.GetSlownessWeight()), observed.GetSlowness()
+	if bound := speedWeight * math.Log(maxRatio); math.IsNaN(slowness) || math.Abs(slowness) > bound {
+		slowness, speedWeight = 0, 0
+	}
+	return evidence{
+		answers: sharedWeight(observed.GetAnswers()), failures: sharedWeight(observed.GetFailures()), silences: sharedWeight(observed.GetSilences()),
+		logSlowness: slowness, speedWeight: speedWeight, at: at,
+	}
+}
+
+// sharedWeight returns a weight of another hall within its bounds.
+func sharedWeight(value float64) float64 {
+	if math.IsNaN(value) {
+		return 0
+	}
+	return min(maxSharedWeight, max(0, value))
+}
