ratelimit: refused first turns return when they can be served

A first turn leaves a reserve of the workspace's tokens to running programs, but was told to return after 100 ms, before the reserve was filled again, together with all others. Callers have few attempts, and spent them within a second. The lender now gives each a time of its own at which its tokens and the reserve are there, at most 600 ms.

--- a/hall/ratelimit/limiter.go
+++ b/hall/ratelimit/limiter.go
@@ -36,6 +36,9 @@
 	// firstTurnReserve is the fraction of this hall's bucket capacity that first
 	// turns leave to programs that are already running.
 	firstTurnReserve = 0.3
+	// maxReturnDelay is the longest time after which a refused first turn is asked to return,
+	// since callers have only a few attempts and little time.
+	maxReturnDelay = 600 * time.Millisecond
 	// minRetryInterval prevents a busy loop when the computed wait rounds to zero.
 	minRetryInterval = time.Millisecond
 	// minRetryAfter is the shortest retry hint in a rejection.
@@ -108,7 +111,8 @@
 	waiting   atomic.Int64  // Number of requests that wait for a token.
 	lacking   atomic.Int64  // Number of those that tried to borrow one and got none.
 	borrowing chan struct{} // Semaphore: holds one element while a request borrows.
-	refusals  refusalQueue
+	refusals  refusalQueue  // Of requests of running programs.
+	returns   refusalQueue  // Of first turns.
 }
 
 // New returns a Limiter without workspaces and without a share. shareValid
@@ -249,9 +253,11 @@
 	switch {
 	case loan.Amount() > 0:
 	case request.GetNewProgram():
-		reply.RetryAfterMilliseconds = durationToMilliseconds(max(minRetryAfter, state.bucket.TimeToToken(now)))
+		// Callers that came back before the reserve is filled would be refused again.
+		delay := state.returns.next(now, state.bucket, 1+claim.Reserve, maxReturnDelay)
+		reply.RetryAfterMilliseconds = durationToMilliseconds(max(minRetryAfter, min(delay, maxReturnDelay)))
 	default:
-		reply.RetryAfterMilliseconds = durationToMilliseconds(state.refusals.next(now, state.bucket))
+		reply.RetryAfterMilliseconds = durationToMilliseconds(state.refusals.next(now, state.bucket, 1, maxWait))
 	}
 	return reply
 }
