limit: a token of a loan that is not used goes back to the loan

A request that reaches no backend server returns its token. At a hall that holds no slice of the limit, the token was dropped, as the bucket has no capacity of its own. The token now goes back to its loan until that expires, unless the lender was told that it is spent.

--- a/kernel/limit/bucket.go
+++ b/kernel/limit/bucket.go
@@ -49,35 +49,6 @@
 // borrower remembers. A lender at the bound grants no further loans.
 const maxLoans = 64
 
-// Loan is a number of borrowed tokens that expire after a lifetime.
-type Loan struct {
-	id       uint64
-	amount   float64
-	lifetime time.Duration
-}
-
-// NewLoan returns a loan. The lender assigns the ID.
-func NewLoan(id uint64, amount float64, lifetime time.Duration) Loan {
-	return Loan{id: id, amount: amount, lifetime: lifetime}
-}
-
-// ID returns the ID that the lender assigned.
-func (l Loan) ID() uint64 { return l.id }
-
-// Amount returns the number of tokens.
-func (l Loan) Amount() float64 { return l.amount }
-
-// Lifetime returns how long the tokens may be spent, counted from sending the
-// request for them.
-func (l Loan) Lifetime() time.Duration { return l.lifetime }
-
-type loanRecord struct {
-	id        uint64
-	lender    string
-	amount    float64
-	expiresAt time.Time
-}
-
 // Bucket holds the tokens of one workspace at one hall. It is safe for concurrent
 // use. Times passed to it must come from a monotonic clock.
 type Bucket struct {
@@ -90,6 +61,7 @@
 	lent               []loanRecord
 	borrowed           []loanRecord
 	settled            []loanRecord // Loans of other halls that are spent but not yet reported to them.
+	spent              []loanRecord // Parts of loans of other halls that requests took, until the loans expire.
 	lastLoanID         uint64
 	demand             float64 // Moving average of the tokens requested at this hall per second.
 	demandUpdatedAt    time.Time
@@ -166,6 +138,7 @@
 	for len(b.borrowed) > 0 && missing > 0 {
 		part := min(missing, b.borrowed[0].amount)
 		b.borrowed[0].amount -= part
+		b.recordSpent(b.borrowed[0], part)
 		missing -= part
 		if b.borrowed[0].amount > 0 {
 			break
@@ -177,27 +150,43 @@
 	return true
 }
 
-// Return puts back a token that was taken but not used.
+// Return puts back a token that was taken but not used. One of a loan that has not expired
+// goes back to the loan: a hall without slices of its own has no other place for it.
 func (b *Bucket) Return(now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.refill(now)
-	b.tokens++
+	missing := 1.0
+	for len(b.spent) > 0 && missing > 0 {
+		last := &b.spent[len(b.spent)-1]
+		part := min(missing, last.amount)
+		if b.returnToLoan(*last, part) {
+			missing -= part
+		}
+		if last.amount -= part; last.amount <= 0 {
+			b.spent = b.spent[:len(b.spent)-1]
+		}
+	}
+	b.tokens += missing
 	b.capTokens()
 }
 
 // TimeToToken returns the time until refill alone, without loans, provides a whole
 // token.
-func (b *Bucket) TimeToToken(now time.Time) time.Duration {
+func (b *Bucket) TimeToToken(now time.Time) time.Duration { return b.TimeToTokens(now, 1) }
+
+// TimeToTokens returns the time until refill alone, without loans, provides a number of
+// tokens.
+func (b *Bucket) TimeToTokens(now time.Time, tokens float64) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.refill(now)
-	missing := 1 - b.tokens
+	missing := tokens - b.tokens
 	if missing <= 0 {
 		return 0
 	}
 	refillRate := b.rate * b.share
-	if refillRate <= 0 || b.capacity() < 1 {
+	if refillRate <= 0 || b.capacity() < tokens {
 		return time.Duration(1<<63 - 1)
 	}
 	return time.Duration(missing / refillRate * float64(time.Second))
@@ -228,72 +217,6 @@
 	return float64(n) + math.Floor(expected) - b.tokens - totalAmount(b.borrowed)
 }
 
-// DrainSettled returns the IDs of a lender's loans that were spent since the last
-// call and forgets them. The caller must report them to the lender.
-func (b *Bucket) DrainSettled(lender string) []uint64 {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	var ids []uint64
-	var remaining []loanRecord
-	for _, loan := range b.settled {
-		if loan.lender == lender {
-			ids = append(ids, loan.id)
-			continue
-		}
-		remaining = append(remaining, loan)
-	}
-	b.settled = remaining
-	return ids
-}
-
-// Lend closes the loans listed in settled, which restores their capacity, then
-// subtracts up to wanted tokens and returns them as a loan. The loan is empty if
-// the bucket can spare none.
-func (b *Bucket) Lend(now time.Time, wanted float64, settled []uint64) Loan {
-	return b.LendFor(now, Claim{Wanted: wanted}, settled)
-}
-
-// Claim describes the tokens that a borrower asks for.
-type Claim struct {
-	// Wanted is the most that it can use.
-	Wanted float64
-	// Minimum is what it lacks to serve one request. A loan of less is granted only
-	// by a bucket that is too small ever to lend the minimum, because the borrower
-	// would let it expire.
-	Minimum float64
-	// Reserve is what must remain in the bucket.
-	Reserve float64
-}
-
-// LendFor is Lend for a claim with a minimum and a reserve.
-func (b *Bucket) LendFor(now time.Time, claim Claim, settled []uint64) Loan {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.refill(now)
-	b.lent = slices.DeleteFunc(b.lent, func(loan loanRecord) bool { return slices.Contains(settled, loan.id) })
-	mostLent := maxLentFraction * b.burst * b.share
-	amount := min(claim.Wanted, b.tokens-claim.Reserve, mostLent-totalAmount(b.lent))
-	if amount <= 0 || amount < min(claim.Minimum, mostLent) || len(b.lent) >= maxLoans {
-		return Loan{}
-	}
-	b.tokens -= amount
-	b.lastLoanID++
-	b.lent = append(b.lent, loanRecord{id: b.lastLoanID, amount: amount, expiresAt: now.Add(LoanLifetime)})
-	return Loan{id: b.lastLoanID, amount: amount, lifetime: LoanLifetime}
-}
-
-// Accept adds the loan of a lender. sentAt is when the request for it was sent.
-func (b *Bucket) Accept(sentAt, now time.Time, lender string, loan Loan) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.refill(now)
-	expiresAt := sentAt.Add(loan.lifetime)
-	if loan.amount <= 0 || !now.Before(expiresAt) {
-		return
-	}
-	b.borrowed = append(b.borrowed, loanRecord{id: loan.id, lender: lender, amount: loan.amount, expiresAt: expiresAt})
-}
-
 // Tokens returns the tokens that can be spent now, borrowed ones included.
 func (b *Bucket) Tokens(now time.Time) float64 {
 	b.mutex.Lock()
@@ -329,14 +252,7 @@
 	for len(b.borrowed) > 0 && !now.Before(b.borrowed[0].expiresAt) {
 		b.borrowed = b.borrowed[1:]
 	}
-}
-
-// recordSettled keeps a spent loan until the next request to its lender. Beyond
-// maxLoans, loans are not reported and stay open at the lender until they expire.
-func (b *Bucket) recordSettled(loan loanRecord) {
-	if len(b.settled) < maxLoans {
-		b.settled = append(b.settled, loan)
-	}
+	b.spent = slices.DeleteFunc(b.spent, func(loan loanRecord) bool { return !now.Before(loan.expiresAt) })
 }
 
 // recordDemand adds one request to the moving average of the demand.
@@ -397,11 +313,3 @@
 func (b *Bucket) capTokens() {
 	b.tokens = min(b.tokens, b.capacity())
 }
-
-func totalAmount(loans []loanRecord) float64 {
-	total := 0.0
-	for _, loan := range loans {
-		total += loan.amount
-	}
-	return total
-}
--- a/kernel/limit/bucket_test.go
+++ b/kernel/limit/bucket_test.go
@@ -257,6 +257,17 @@
 			"send requests": func(rt *rapid.T) {
 				c.spend(rt, drawHall(rt, c, "hall"), rapid.IntRange(1, 60).Draw(rt, "requests"))
 			},
+			"take and return tokens": func(rt *rapid.T) {
+				bucket, taken := c.buckets[drawHall(rt, c, "hall")], 0
+				for range rapid.IntRange(1, 20).Draw(rt, "requests") {
+					if bucket.Take(c.now) {
+						taken++
+					}
+				}
+				for range taken {
+					bucket.Return(c.now)
+				}
+			},
 			"spend all tokens of all halls": func(rt *rapid.T) {
 				for hall := range c.buckets {
 					c.spend(rt, hall, 500)
