hall/balance: PreferredVersion honors the versions of its query

With servers of a single version it returned that one before it looked at the versions that the query names or excludes. Roll-outs need the restriction.

Before: TestPreferredVersionIsAllowed got v1 for two queries that rule it out.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -157,7 +157,7 @@
 
 // PreferredVersion returns the software version of the server that Choose would select.
 func (b *Balancer) PreferredVersion(now time.Time, query Query) (string, error) {
-	if version, found := b.directory.List().OnlyVersion(query.Service.Name); found {
+	if version, found := b.directory.List().OnlyVersion(query.Service.Name); found && query.allowsVersion(version) {
 		return version, nil
 	}
 	b.mutex.Lock()
--- a/hall/balance/balance_test.go
+++ b/hall/balance/balance_test.go
@@ -269,3 +269,26 @@
 		t.Errorf("server of a running program that was refused often: got %v, error %v, want it to queue at the full one", choice, err)
 	}
 }
+
+// TestPreferredVersionIsAllowed guards against streams that are bound to a version which
+// their query excludes, because it is the only one that has servers.
+func TestPreferredVersionIsAllowed(t *testing.T) {
+	directory := backend.NewDirectory()
+	publish(directory, backend.Options{ID: "one", Zone: "a", Version: "v1"}, backend.Options{ID: "two", Zone: "a", Version: "v1"})
+	balancer := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
+	other := "v2"
+	for _, tc := range []struct {
+		query   balance.Query
+		allowed bool
+	}{
+		{balance.Query{Service: modelService}, true},
+		{balance.Query{Service: modelService, ExcludedVersion: "v2"}, true},
+		{balance.Query{Service: modelService, ExcludedVersion: "v1"}, false},
+		{balance.Query{Service: modelService, Version: &other}, false},
+	} {
+		version, err := balancer.PreferredVersion(time.Now(), tc.query)
+		if allowed := err == nil; allowed != tc.allowed || (allowed && version != "v1") {
+			t.Errorf("query %+v: got version %q and error %v, want allowed %t", tc.query, version, err, tc.allowed)
+		}
+	}
+}
