hall/gateway: apply roll-outs to each send

Roll-outs decide which software versions a send may use, and need the results by version. The gateway selects the versions by program, asks again where a stream is continued or a permission is older than a report interval, uses the other version if that is allowed and the selected one has no server, and records one outcome for each send that ran.

go test -race ./gateway ./balance ./rollout passes.

--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -29,12 +29,14 @@
 type serverResponse struct {
 	*Response
 	choice *balance.Choice
+	sample *sample
 }
 
 // release closes the exchange and ends the request at the server in the balancer.
 func (r *serverResponse) release() {
 	r.Close()
 	r.choice.Done()
+	r.sample.end()
 }
 
 // forward sends the request to one backend server after another until one runs
@@ -46,7 +48,7 @@
 			return nil, refusal
 		}
 		query := h.balancerQuery()
-		choice, err := h.gateway.options.Balancer.Choose(time.Now(), query)
+		choice, err := h.chooseServer(time.Now(), query)
 		if err != nil {
 			return nil, h.noServerRefusal(err)
 		}
@@ -62,10 +64,15 @@
 				continue
 			}
 		}
+		if !h.confirmPermission(time.Now(), choice.Server().Version()) {
+			choice.Done()
+			continue
+		}
 		h.sends++
 		h.recordProgram()
 		h.account.SetPriority(buffer.PriorityStarted)
 		sentAt := time.Now()
+		sample := h.newSample(choice.Server(), sentAt)
 		response, err := h.gateway.options.Backend.Send(ctx, choice.Server(), h.newBackendRequest(resumeAfter))
 		h.sendDuration += time.Since(sentAt)
 		if err == nil {
@@ -76,8 +83,10 @@
 		if err == nil && !response.NotRun {
 			choice.ReportStart(query, time.Since(sentAt))
 			h.reportLoad(choice, response)
-			return &serverResponse{Response: response, choice: choice}, nil
+			sample.observe(response)
+			return &serverResponse{Response: response, choice: choice, sample: sample}, nil
 		}
+		sample.endWithoutResponse(ctx, err)
 		h.skipServer(choice, response, err)
 		if refusal := h.checkRetry(ctx, err); refusal != nil {
 			return nil, refusal
@@ -229,6 +238,7 @@
 	var full *buffer.FullError
 	isWhole := err == nil && buffered.Len() < maxBufferedBytes
 	if err != nil && !errors.As(err, &full) {
+		response.sample.breakOff(ctx, err)
 		h.skipServer(response.choice, response.Response, err)
 		refusal := h.checkRetry(ctx, connection.NewIncompleteResponseError(err))
 		return refusal, refusal == nil
@@ -244,6 +254,7 @@
 	if !isWhole {
 		if err := h.copyRest(response, buffered.Bytes()); err != nil {
 			h.abortErr = err
+			response.sample.breakOff(ctx, response.sample.readError())
 			h.recordBreak(ctx, err)
 		}
 	}
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -110,6 +109,8 @@
 	Limits   *serverlimit.Limiter
 	Backend  Backend
 	Crashes  CrashTracker
+	// Rollouts is nil in deployments without roll-outs of software versions.
+	Rollouts Rollouts
 	// HallCount returns how many halls share the connection limit of a server.
 	HallCount func() int
 	Meters    *Meters
@@ -195,6 +196,7 @@
 	account     *buffer.Account // Takes all memory that the request keeps, nil for no limit.
 	output      *buffer.Output  // Kept for the record of the turn.
 	version     *string         // Software version of the servers of a resumable stream.
+	permission  permission      // To send to servers of some software versions.
 	affinityKey string          // Same for requests that share a history; empty for none.
 	deadline    time.Time
 
@@ -331,18 +333,22 @@
 	return refuse(http.StatusUnauthorized, "unknown API key")
 }
 
-// selectService selects a service of the route's traffic split. The choice depends
-// on the program, so that a program stays with one service, or on the request ID
-// for a request outside of any program.
+// selectService selects a service of the route's traffic split.
 func (h *requestHandler) selectService() string {
 	if len(h.route.Splits) == 1 {
 		return h.route.Splits[0].Service
 	}
-	splitKey := h.request.Program
-	if splitKey == "" {
-		splitKey = h.request.ID
+	return balance.PickSplit(h.route.Splits, h.splitKey())
+}
+
+// splitKey returns the key on which choices between services, and between software
+// versions, depend: the program, so that it stays with one of them, or the ID of a request
+// outside of any program.
+func (h *requestHandler) splitKey() string {
+	if h.request.Program != "" {
+		return h.request.Program
 	}
-	return balance.PickSplit(h.route.Splits, splitKey)
+	return h.request.ID
 }
 
 func (h *requestHandler) setDeadline() {
@@ -356,71 +362,6 @@
 	h.deadline = h.request.Received.Add(timeout)
 }
 
-// beginTurn reserves the turn's tokens and prepends its history to the body. For a stream
-// that may be resumed it also records, or looks up, the version of its servers.
-func (h *requestHandler) beginTurn(ctx context.Context) *Refusal {
-	h.body = net.Buffers{h.request.Body}
-	if h.route.Kind != catalog.KindStream {
-		return nil
-	}
-	if refusal := h.selectVersion(); refusal != nil {
-		return refusal
-	}
-	hasTurn := h.request.Program != "" && (h.request.Budget > 0 || h.route.KeepsHistory)
-	if !hasTurn && !h.route.Resumable {
-		return nil
-	}
-	turn := turns.Turn{
-		ID: h.request.ID, Program: h.streamProgram(), Workspace: h.workspaceName(), MaxTokens: h.request.MaxTokens, Retention: h.route.Retention,
-	}
-	if hasTurn {
-		turn.Budget = h.request.Budget
-	}
-	if hasTurn && h.route.KeepsHistory {
-		turn.Previous = h.request.PreviousTurn
-	}
-	if h.route.Resumable {
-		turn.ServerVersion, turn.Resumes, turn.TakesUp = h.version, h.request.Resumes, h.takesUpStream()
-		turn.Retention = max(turn.Retention, minVersionRetention)
-	}
-	if h.route.KeepsHistory && hasTurn {
-		if refusal := h.reserveTurn(); refusal != nil {
-			return refusal
-		}
-	}
-	start := time.Now()
-	active, err := h.gateway.options.Turns.Begin(ctx, turn)
-	h.beginDuration = time.Since(start)
-	switch {
-	case err != nil && !hasTurn && !turn.TakesUp:
-		// The stream can run, but it can't be taken up later.
-		h.gateway.options.Logger.Warn("version of a stream not recorded", zap.String("requestId", h.request.ID), zap.Error(err))
-		return nil
-	case err != nil:
-		return turnRefusal(err)
-	}
-	h.turn = active
-	if hasTurn {
-		h.affinityKey = active.Placement()
-	}
-	h.body = append(slices.Clone(active.History()), h.request.Body)
-	return h.applyResumedVersion(active)
-}
-
-func turnRefusal(err error) *Refusal {
-	var exhausted *turns.BudgetExhaustedError
-	var wrongWorkspace *turns.WrongWorkspaceError
-	var notFound *turns.TurnNotFoundError
-	switch {
-	case errors.As(err, &exhausted):
-		return refuse(http.StatusPaymentRequired, "%v", err)
-	case errors.As(err, &wrongWorkspace), errors.As(err, &notFound):
-		return refuse(http.StatusNotFound, "%v", err)
-	default:
-		return refuseRetryable(defaultRetryAfter, "%v", err)
-	}
-}
-
 // workspaceName returns the name of the workspace, or "" if there is none.
 func (h *requestHandler) workspaceName() string {
 	if h.workspace == nil {
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -230,12 +230,16 @@
 	return f
 }
 
-// send handles one request and reports whether its response was aborted.
-func (f *fixture) send(path string, modify func(*gateway.Request)) (recorder *httptest.ResponseRecorder, aborted bool) {
-	request := &gateway.Request{
+func newRequest(path string) *gateway.Request {
+	return &gateway.Request{
 		ID: "r1", Method: http.MethodPost, Host: "desk.example", Path: path, Target: path, APIKey: "key", Program: "p1", Budget: 1000, MaxTokens: 100,
 		Body: []byte("in"), Received: time.Now(), Header: http.Header{},
 	}
+}
+
+// send handles one request and reports whether its response was aborted.
+func (f *fixture) send(path string, modify func(*gateway.Request)) (recorder *httptest.ResponseRecorder, aborted bool) {
+	request := newRequest(path)
 	if modify != nil {
 		modify(request)
 	}
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -50,6 +50,7 @@
 	begun := time.Now()
 	for {
 		err := h.relayEvents(response, progress)
+		response.sample.breakOff(ctx, err)
 		response.release()
 		if err == nil {
 			h.gateway.lateness.recordStream(h.service.Name, h.producedTokens(progress), time.Since(begun))
--- a/hall/gateway/version.go
+++ b/hall/gateway/version.go
@@ -13,7 +13,7 @@
 	if !h.route.Resumable || h.takesUpStream() {
 		return nil
 	}
-	version, err := h.gateway.options.Balancer.PreferredVersion(time.Now(), h.balancerQuery())
+	version, err := h.preferredVersion(time.Now(), h.balancerQuery())
 	if err != nil {
 		return h.noServerRefusal(err)
 	}
