--- a/hall/outlier/evidence.go
+++ b/hall/outlier/evidence.go
@@ -69,14 +69,20 @@
 	e.speedWeight += other.speedWeight
 }
 
-func (e *evidence) forgetFailures() { e.answers, e.failures, e.silences = 0, 0, 0 }
+func (e *evidence) forgetResults() { e.answers, e.failures, e.silences = 0, 0, 0 }
 
-func (e *evidence) failureRate() float64 {
-	bad := e.failures + e.silences
-	return bad / (e.answers + bad + priorAnswers)
-}
+func (e *evidence) bad() float64 { return e.failures + e.silences }
+
+func (e *evidence) failureRate() float64 { return e.bad() / (e.answers + e.bad() + priorAnswers) }
 
-func (e *evidence) slowness() float64 { return math.Exp(e.logSlowness / (e.speedWeight + priorSpeed)) }
+// logRatio returns the mean logarithm of the measured ratios to the usual time.
+func (e *evidence) logRatio() float64 { return e.logSlowness / e.speedWeight }
+
+// slowness returns the time that work takes relative to the median of the peers, whose logRatio
+// is usual.
+func (e *evidence) slowness(usual float64) float64 {
+	return math.Exp((e.logSlowness - usual*e.speedWeight) / (e.speedWeight + priorSpeed))
+}
 
 // baselines are the usual times of a service by route.
 type baselines struct{ byRoute map[string]*baseline }
--- a/hall/outlier/exchange.go
+++ b/hall/outlier/exchange.go
@@ -1,6 +1,7 @@
 package outlier
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -17,12 +18,36 @@
 	maxEvidenceAge = 15 * time.Second
 	// maxSharedWeight bounds what one hall can add to the evidence about a server.
 	maxSharedWeight = 100
+	// maxFailuresOfHall bounds the weight of the failures that one other hall observed, so
+	// that they alone eject no server: the link of that hall may be their cause.
+	maxFailuresOfHall = 1
+	// minSharedFailures is the least evidence of failures, weighted by age, that is shared
+	// before evidence of answers.
+	minSharedFailures = 0.5
 )
 
 // sharedEvidence is the evidence of another hall.
 type sharedEvidence struct {
-	evidence evidence
-	sequence uint64
+	evidence  evidence
+	forgotten evidence // The part of it that no longer counts.
+	sequence  uint64
+}
+
+// news returns the evidence that counts at the given time. Both parts lose weight alike, so
+// that their difference is what was observed since, or less if the other hall has forgotten
+// the results as well.
+func (s *sharedEvidence) news(now time.Time) evidence {
+	known, forgotten := s.evidence, s.forgotten
+	known.decay(now)
+	forgotten.decay(now)
+	known.answers = max(0, known.answers-forgotten.answers)
+	known.failures = max(0, known.failures-forgotten.failures)
+	known.silences = max(0, known.silences-forgotten.silences)
+	if bad := known.bad(); bad > maxFailuresOfHall {
+		scale := maxFailuresOfHall / bad
+		known.answers, known.failures, known.silences = known.answers*scale, known.failures*scale, known.silences*scale
+	}
+	return known
 }
 
 // Summary returns the newest evidence of this hall.
@@ -33,10 +58,9 @@
 	summary := &wire.ObservationSummary{Hall: d.ownName}
 	for name, service := range d.services {
 		for id, known := range service.servers {
-			if now.Sub(known.own.at) > maxEvidenceAge || known.sequence == 0 {
-				continue
+			if known.sequence > 0 && now.Sub(known.own.at) < maxEvidenceAge {
+				summary.Servers = append(summary.Servers, known.own.toWire(now, d.ownName, name, id, known.sequence))
 			}
-			summary.Servers = append(summary.Servers, known.own.toWire(now, d.ownName, name, id, known.sequence))
 			for hall, other := range known.others {
 				if now.Sub(other.evidence.at) < maxEvidenceAge {
 					summary.Servers = append(summary.Servers, other.evidence.toWire(now, hall, name, id, other.sequence))
@@ -45,12 +69,24 @@
 		}
 	}
 	if len(summary.Servers) > maxShared {
-		slices.SortFunc(summary.Servers, func(a, b *wire.ServerObservation) int { return int(a.GetAgeMilliseconds() - b.GetAgeMilliseconds()) })
+		slices.SortFunc(summary.Servers, compareNews)
 		summary.Servers = summary.Servers[:maxShared]
 	}
 	return summary
 }
 
+// compareNews orders evidence by its use to other halls: that of failures first, as few of
+// them decide on an ejection, then by age.
+func compareNews(a, b *wire.ServerObservation) int {
+	hasFailures := func(observed *wire.ServerObservation) int {
+		if observed.GetFailures()+observed.GetSilences() >= minSharedFailures {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(hasFailures(b), hasFailures(a)), cmp.Compare(a.GetAgeMilliseconds(), b.GetAgeMilliseconds()))
+}
+
 // Exchange adds the evidence of another hall and returns that of this one.
 func (d *Detector) Exchange(summary *wire.ObservationSummary) *wire.ObservationSummary {
 	d.Merge(summary)
@@ -72,13 +108,16 @@
 		if service == nil {
 			continue // This hall sends the service nothing.
 		}
+		if len(service.servers) >= maxServers && service.servers[observed.GetServer()] == nil {
+			continue
+		}
 		known := service.record(observed.GetServer())
 		last, found := known.others[observed.GetHall()]
 		at := now.Add(-age)
-		if (found && last.sequence >= observed.GetSequence()) || !at.After(known.ejectedAt) || (!found && len(known.others) >= maxHalls) {
+		if (found && last.sequence >= observed.GetSequence()) || (!found && !at.After(known.ejectedAt)) || (!found && len(known.others) >= maxHalls) {
 			continue
 		}
-		known.others[observed.GetHall()] = sharedEvidence{evidence: fromWire(observed, at), sequence: observed.GetSequence()}
+		known.others[observed.GetHall()] = sharedEvidence{evidence: fromWire(observed, at), forgotten: last.forgotten, sequence: observed.GetSequence()}
 	}
 }
 
--- a/hall/outlier/outlier.go
+++ b/hall/outlier/outlier.go
@@ -13,7 +13,7 @@
 //	detector := outlier.New("front-a-1", time.Now, logger)
 //	detector.Record(outlier.Observation{Service: "models", Server: "i-7f3a", Result: outlier.Answered, Work: 30 * time.Millisecond})
 //	assessment := detector.Assess("models", servers)
-//	if assessment.Of("i-7f3a").IsEjected() { … }
+//	if !assessment.Of("i-7f3a").Allows(open) { … }
 //	reply := detector.Exchange(summary) // Of another hall.
 package outlier
 
@@ -30,7 +30,7 @@
 
 const (
 	// assessInterval is how long an assessment is used.
-	assessInterval = 50 * time.Millisecond
+	assessInterval = 100 * time.Millisecond
 	// minFailures is the least evidence of failures, weighted by age, for an ejection. One
 	// failure alone may have any cause.
 	minFailures = 1.8
@@ -45,8 +45,15 @@
 	// firstEjection and maxEjection bound the time of an ejection, which doubles.
 	firstEjection = time.Second
 	maxEjection   = 8 * time.Second
-	// returnAnswers is how many answers end the return of a server.
-	returnAnswers = 3
+	// minReturnFailures is the least evidence of failures, weighted by age, that ejects a
+	// returning server again: a single one that is not yet old.
+	minReturnFailures = 0.5
+	// returnAnswers is how many answers, weighted by age, end the return of a server.
+	returnAnswers = 6
+	// returnPeriod ends the return of a server that gets too few requests for that.
+	returnPeriod = 5 * time.Second
+	// maxServers bounds the servers of a service of which evidence is kept.
+	maxServers = 16_384
 	// forgetPeriod is the time after its return after which an ejection no longer makes the
 	// next one longer.
 	forgetPeriod = 20 * time.Second
@@ -85,6 +92,7 @@
 	failureRate float64
 	ejected     bool
 	returning   bool
+	maxOpen     int // Of a returning server.
 }
 
 // Slowness returns the time that work takes relative to the other servers: 1 is as usual, 2
@@ -102,8 +110,11 @@
 // IsEjected reports whether the server receives no requests while others can.
 func (v Verdict) IsEjected() bool { return v.ejected }
 
-// IsReturning reports whether the server was ejected and receives one request at a time.
-func (v Verdict) IsReturning() bool { return v.returning }
+// Allows reports whether the server should receive a request from this hall, which has the
+// given number of requests open there.
+func (v Verdict) Allows(open int) bool {
+	return !v.ejected && (!v.returning || open < v.maxOpen)
+}
 
 // Assessment holds the verdicts on the servers of one service. Its nil value has no evidence.
 type Assessment struct{ verdicts map[string]Verdict }
@@ -144,8 +155,8 @@
 	ejectedUntil time.Time
 	ejectedAt    time.Time
 	ejections    int // In a row.
+	ejected      bool
 	returning    bool
-	answers      int // Since the return began.
 }
 
 // New returns a Detector without evidence. ownName is the name of this hall.
@@ -169,7 +180,9 @@
 	service := d.service(observation.Service)
 	server := service.record(observation.Server)
 	server.own.decay(now)
-	server.own.count(observation.Result)
+	if observation.Result == Answered || !server.ejected {
+		server.own.count(observation.Result)
+	}
 	if observation.Work > 0 {
 		server.own.addSpeed(service.baselines.ratio(observation.Route, observation.Work))
 	}
@@ -178,21 +191,6 @@
 	}
 	d.sequence++
 	server.sequence = d.sequence
-	if server.returning && now.After(server.ejectedUntil) {
-		d.recordReturn(now, observation, server)
-	}
-}
-
-// recordReturn decides whether a returning server is in use again or ejected once more.
-func (d *Detector) recordReturn(now time.Time, observation Observation, server *record) {
-	if observation.Result != Answered {
-		d.eject(now, observation.Service, observation.Server, server, 1)
-		return
-	}
-	if server.answers++; server.answers >= returnAnswers {
-		server.returning = false
-		d.logger.Info("backend server is in use again", zap.String("server", observation.Server), zap.String("service", observation.Service), zap.Int("ejections", server.ejections))
-	}
 }
 
 // Assess returns the verdicts on the servers, which are those of the service that may be used.
@@ -204,90 +202,148 @@
 	if service.assessment != nil && now.Sub(service.assessedAt) < assessInterval {
 		return service.assessment
 	}
-	d.ejectWorst(now, name, service, servers)
-	assessment := &Assessment{verdicts: make(map[string]Verdict, len(servers))}
+	totals := make(map[string]evidence, len(servers))
+	speeds := make([]float64, 0, len(servers))
 	for _, server := range servers {
 		known := service.servers[server.ID()]
 		if known == nil {
 			continue
 		}
+		d.advance(now, name, server.ID(), known)
 		total := known.total(now)
-		assessment.verdicts[server.ID()] = Verdict{
-			slowness: total.slowness(), failureRate: total.failureRate(),
-			ejected: now.Before(known.ejectedUntil), returning: known.returning && !now.Before(known.ejectedUntil),
+		totals[server.ID()] = total
+		if total.speedWeight >= 1 {
+			speeds = append(speeds, total.logRatio())
+		}
+	}
+	d.ejectWorst(now, name, service, servers, totals)
+	usual := median(speeds)
+	assessment := &Assessment{verdicts: make(map[string]Verdict, len(totals))}
+	for id, total := range totals {
+		known := service.servers[id]
+		assessment.verdicts[id] = Verdict{
+			slowness: total.slowness(usual), failureRate: total.failureRate(),
+			ejected: known.ejected, returning: known.returning, maxOpen: 1 + int(total.answers)/2,
 		}
 	}
 	service.assessment, service.assessedAt = assessment, now
 	return assessment
 }
 
+// advance begins the return of a server whose ejection is over, and ends it once the server
+// answers. What was observed before the return says nothing of the server now.
+func (d *Detector) advance(now time.Time, service, id string, server *record) {
+	switch {
+	case server.ejected && !now.Before(server.ejectedUntil):
+		server.ejected, server.returning = false, true
+		server.forgetResults(now)
+	case server.returning:
+		total := server.total(now)
+		if total.answers < returnAnswers && now.Sub(server.ejectedUntil) < returnPeriod {
+			return
+		}
+		server.returning = false
+		d.logger.Info("backend server is in use again", zap.String("server", id), zap.String("service", service), zap.Int("ejections", server.ejections))
+	}
+}
+
 // candidate is a server that may be ejected.
 type candidate struct {
-	id   string
-	rate float64
+	id      string
+	version string
+	rate    float64
 }
 
 // ejectWorst ejects the servers that fail clearly more often than their peers, the worst ones
 // first, as far as enough others remain.
-func (d *Detector) ejectWorst(now time.Time, name string, service *service, servers []backend.Server) {
+func (d *Detector) ejectWorst(now time.Time, name string, service *service, servers []backend.Server, totals map[string]evidence) {
 	rates, byVersion, ejected := make([]float64, 0, len(servers)), make(map[string]int), 0
 	var candidates []candidate
-	versions := make(map[string]string, len(servers))
 	for _, server := range servers {
-		versions[server.ID()] = server.Version()
 		known := service.servers[server.ID()]
-		if known != nil && now.Before(known.ejectedUntil) {
+		if known != nil && known.ejected {
 			ejected++
 			continue
 		}
 		byVersion[server.Version()]++
-		if known == nil {
-			rates = append(rates, 0)
-			continue
-		}
-		total := known.total(now)
+		total := totals[server.ID()]
 		rates = append(rates, total.failureRate())
-		if total.failures+total.silences >= minFailures && total.failureRate() >= minFailureRate && !known.returning {
-			candidates = append(candidates, candidate{id: server.ID(), rate: total.failureRate()})
+		if known != nil && total.failureRate() >= minFailureRate && total.bad() >= known.minFailures() {
+			candidates = append(candidates, candidate{id: server.ID(), version: server.Version(), rate: total.failureRate()})
 		}
 	}
 	if len(candidates) == 0 {
 		return
 	}
-	slices.Sort(rates)
-	median := rates[len(rates)/2]
+	usual := median(rates)
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.rate, a.rate), cmp.Compare(a.id, b.id))
 	})
 	for _, worst := range candidates {
-		if worst.rate < median+rateMargin || float64(ejected+1) > maxEjectedPortion*float64(len(servers)) {
+		if worst.rate < usual+rateMargin || float64(ejected+1) > maxEjectedPortion*float64(len(servers)) {
 			return
 		}
-		if byVersion[versions[worst.id]] <= 1 {
+		if byVersion[worst.version] <= 1 {
 			continue
 		}
-		byVersion[versions[worst.id]]--
+		byVersion[worst.version]--
 		ejected++
-		d.eject(now, name, worst.id, service.servers[worst.id], worst.rate)
+		d.eject(now, name, worst, service.servers[worst.id], totals[worst.id])
 	}
 }
 
 // eject keeps requests away from a server for a while. The evidence so far has led to this
 // ejection and does not count for the next one.
-func (d *Detector) eject(now time.Time, service, id string, server *record, rate float64) {
+func (d *Detector) eject(now time.Time, service string, worst candidate, server *record, total evidence) {
 	if now.Sub(server.ejectedUntil) > forgetPeriod {
 		server.ejections = 0
 	}
 	duration := min(maxEjection, firstEjection<<min(server.ejections, 8))
-	total := server.total(now)
 	server.ejections++
 	server.ejectedAt, server.ejectedUntil = now, now.Add(duration)
-	server.returning, server.answers = true, 0
-	server.own.forgetFailures()
-	clear(server.others)
+	server.ejected, server.returning = true, false
+	server.forgetResults(now)
 	d.ejections++
-	d.logger.Info("backend server is ejected: it fails more often than its peers", zap.String("server", id), zap.String("service", service), zap.Duration("for", duration),
-		zap.Float64("rate", rate), zap.Float64("answers", total.answers), zap.Float64("failures", total.failures), zap.Float64("silences", total.silences), zap.Int("ejections", server.ejections))
+	d.logger.Info("backend server is ejected: it fails more often than its peers", zap.String("server", worst.id), zap.String("service", service), zap.Duration("for", duration),
+		zap.Float64("rate", worst.rate), zap.Float64("answers", total.answers), zap.Float64("failures", total.failures), zap.Float64("silences", total.silences), zap.Int("ejections", server.ejections))
+}
+
+// median returns the median of the values, zero if there are none. It sorts them.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// Ejected returns how many servers are ejected.
+func (d *Detector) Ejected() int64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now, count := d.now(), int64(0)
+	for _, service := range d.services {
+		for _, server := range service.servers {
+			if now.Before(server.ejectedUntil) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// HasEvidence reports whether there is anything to share with other halls.
+func (d *Detector) HasEvidence() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, service := range d.services {
+		for _, server := range service.servers {
+			if server.sequence > 0 && d.now().Sub(server.own.at) < maxEvidenceAge {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Retain drops the evidence of servers for which listed returns false.
@@ -325,10 +381,31 @@
 func (r *record) total(now time.Time) evidence {
 	total := r.own
 	total.decay(now)
-	for _, other := range r.others {
-		known := other.evidence
-		known.decay(now)
-		total.add(known)
+	for hall, other := range r.others {
+		if now.Sub(other.evidence.at) > maxEvidenceAge && now.Sub(other.forgotten.at) > maxEvidenceAge {
+			delete(r.others, hall)
+			continue
+		}
+		total.add(other.news(now))
 	}
 	return total
 }
+
+// minFailures returns the least evidence of failures for an ejection.
+func (r *record) minFailures() float64 {
+	if r.returning {
+		return minReturnFailures
+	}
+	return minFailures
+}
+
+// forgetResults makes the answers and failures so far count no longer, also if other halls
+// send them again as part of their evidence.
+func (r *record) forgetResults(now time.Time) {
+	r.own.forgetResults()
+	for hall, other := range r.others {
+		other.forgotten = other.evidence
+		other.forgotten.decay(now)
+		r.others[hall] = other
+	}
+}
