hall/balance: compare servers by slowness, pace and failures

A server that fails at once or runs slowly looks idle by its load. For services whose servers are compared, the queue is weighted by slowness and pace, failures cost the time of a repeat, ejected servers are the last resort, and about equal servers are chosen at random. Reports do not clear a failure there, answers do. Other services are served as before (test).

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -4,7 +4,8 @@
 // It selects the server with the lowest expected delay. The estimate covers the
 // queue at the server, its utilization, the network latency to its availability
 // zone, and the recomputation of the program's history on a server that does not
-// hold it. Servers with a recent failure are only used as a last resort. A cold
+// hold it. Where servers are compared, it also covers how fast and how reliable the server
+// is relative to its peers, and about equal servers are chosen at random. Servers with a recent failure are only used as a last resort. A cold
 // server receives no more than this hall's portion of its cold rate. A server that
 // names a limit is chosen if the wait for the limit costs less than another server.
 //
@@ -25,6 +26,7 @@
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"limpethall.dev/hall/outlier"
 	"limpethall.dev/kernel/backend"
 	"limpethall.dev/kernel/catalog"
 )
@@ -85,6 +87,9 @@
 	// a limit are full. If it is negative, the limit must have been unused for that long,
 	// and the request is not queued at a full server while others are at their limits.
 	MaxWait time.Duration
+	// Work is how long the response is expected to take at a usual server. It counts where
+	// servers are compared.
+	Work time.Duration
 }
 
 // allowsVersion reports whether servers of the software version may be chosen.
@@ -107,9 +112,13 @@
 	zone      string
 	directory *backend.Directory
 	hallCount func() int
+	outliers  *outlier.Detector // Nil if servers are not compared.
+
+	comparesServers bool
 
 	mutex    sync.Mutex
 	states   map[string]*serverState
+	paced    map[string]bool // Services of which a server has reported its pace.
 	prompts  *promptCache
 	objects  *objectCache
 	affinity *lru.Cache[string, string] // Key to ID of the server that holds its history.
@@ -123,6 +132,11 @@
 	// HallCount returns the number of halls that divide the rate of a cold server among
 	// them.
 	HallCount func() int
+	// Outliers compares the servers of services. Without it, none are compared.
+	Outliers *outlier.Detector
+	// ComparesServers says whether the servers of all services are compared from the start.
+	// Otherwise those of a service are once one of them has reported its pace.
+	ComparesServers bool
 }
 
 // New returns a Balancer.
@@ -133,7 +147,8 @@
 	}
 	b := &Balancer{
 		zone: options.Zone, directory: options.Directory, hallCount: options.HallCount,
-		states: make(map[string]*serverState), prompts: newPromptCache(), objects: newObjectCache(), affinity: affinity,
+		outliers: options.Outliers, comparesServers: options.ComparesServers,
+		states: make(map[string]*serverState), paced: make(map[string]bool), prompts: newPromptCache(), objects: newObjectCache(), affinity: affinity,
 	}
 	options.Directory.Subscribe(b.applyList)
 	return b
@@ -200,7 +215,8 @@
 	preferred, object := b.preferredServer(query, usable, prompt), b.objects.estimate(query, usable)
 	best := Choice{delay: math.MaxInt64}
 	noServer := &NoServerError{service: query.Service.Name, usable: len(usable)}
-	var limited []Choice
+	compared := b.compare(query.Service.Name, usable)
+	var limited, unlimited []Choice
 	for _, server := range usable {
 		if query.Tried[server.ID()] || !query.allowsVersion(server.Version()) {
 			continue
@@ -211,7 +227,7 @@
 			continue
 		}
 		candidate := Choice{
-			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred),
+			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred, compared),
 			preferred: server.ID() == preferred || server.ID() == object.first, listAge: list.Age(now), reads: prompt.tokens(server.ID()),
 		}
 		candidate.reason = reasonFor(server.ID(), prompt, object, preferred)
@@ -222,10 +238,16 @@
 		}
 		if candidate.limited {
 			limited = append(limited, candidate)
-		} else if candidate.delay < best.delay {
+			continue
+		}
+		if compared.active {
+			unlimited = append(unlimited, candidate)
+		}
+		if candidate.delay < best.delay {
 			best = candidate
 		}
 	}
+	best = compared.spread(now, best, unlimited)
 	return b.compareLimited(now, query, best, limited, noServer)
 }
 
@@ -279,13 +301,14 @@
 	return state
 }
 
-func (b *Balancer) expectedDelay(now time.Time, query Query, server backend.Server, state *serverState, preferred string) time.Duration {
+func (b *Balancer) expectedDelay(now time.Time, query Query, server backend.Server, state *serverState, preferred string, compared comparison) time.Duration {
 	slots := slotsOf(server)
-	requests := state.estimatedRequests(now)
-	delay := time.Duration(requests / float64(slots) * float64(utilizationDelay))
+	requests, factor := state.estimatedRequests(now), compared.factor(now, server.ID(), state)
+	delay := time.Duration(requests / float64(slots) * float64(utilizationDelay) * factor)
 	if queued := requests - float64(slots) + 1; queued > 0 {
-		delay += time.Duration(queued * float64(queueDelay))
+		delay += time.Duration(queued * float64(queueDelay) * factor)
 	}
+	delay += compared.extraDelay(&query, server.ID(), factor)
 	if server.Zone() != b.zone {
 		delay += crossZoneDelay
 	}
@@ -296,7 +319,7 @@
 			delay += hashMismatchDelay
 		}
 	}
-	if now.Sub(state.failedAt) < failureWindow {
+	if now.Sub(state.failedAt) < failureWindow || compared.avoids(server.ID(), state) {
 		delay += failurePenalty
 	}
 	return delay
--- a/hall/balance/choice.go
+++ b/hall/balance/choice.go
@@ -98,14 +98,22 @@
 	}
 }
 
-// ReportLoad records the load that the server reported and clears its failure.
+// ReportLoad records the load that the server reported. It clears the server's failure, unless
+// servers are compared: a server that fails at once reports no load.
 func (c *Choice) ReportLoad(now time.Time, load Load) {
 	c.balancer.mutex.Lock()
 	defer c.balancer.mutex.Unlock()
 	c.state.lastReport = load
+	c.state.recordPace(load)
 	c.state.reportedAt = now
 	c.state.outstandingAtReport = c.state.outstanding
-	c.state.failedAt = time.Time{}
+	service := c.server.Service()
+	if load.Pace > 0 && c.balancer.outliers != nil {
+		c.balancer.paced[service] = true
+	}
+	if !c.balancer.compares(service) {
+		c.state.failedAt = time.Time{}
+	}
 }
 
 // ReportFailure records a failure of the server, which ranks it behind all others
--- a/hall/balance/state.go
+++ b/hall/balance/state.go
@@ -13,7 +13,8 @@
 	outstanding         int
 	lastReport          Load
 	reportedAt          time.Time
-	outstandingAtReport int // Requests of this hall when the report arrived.
+	outstandingAtReport int     // Requests of this hall when the report arrived.
+	logPace             float64 // Mean logarithm of the reported paces, relative to usualPace.
 	failedAt            time.Time
 	coldSends           []time.Time
 	nextColdSend        time.Time // Used if this hall may send less than one cold request per window.
