hall/gateway: record the results of requests at compared servers

The comparison of servers needs one result of each exchange. Refusals without a run, failures to connect and what the caller broke off are not counted.

--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -28,7 +28,8 @@
 // serverResponse is an open response with the balancer's choice of its server.
 type serverResponse struct {
 	*Response
-	choice *balance.Choice
+	choice   *balance.Choice
+	exchange *exchange
 }
 
 // release closes the exchange and ends the request at the server in the balancer.
@@ -65,7 +66,7 @@
 		h.sends++
 		h.recordProgram()
 		h.account.SetPriority(buffer.PriorityStarted)
-		sentAt := time.Now()
+		exchange, sentAt := h.beginExchange(choice), time.Now()
 		response, err := h.gateway.options.Backend.Send(ctx, choice.Server(), h.newBackendRequest(resumeAfter))
 		h.sendDuration += time.Since(sentAt)
 		if err == nil {
@@ -76,8 +77,10 @@
 		if err == nil && !response.NotRun {
 			choice.ReportStart(query, time.Since(sentAt))
 			h.reportLoad(choice, response)
-			return &serverResponse{Response: response, choice: choice}, nil
+			exchange.receiveHeader(response)
+			return &serverResponse{Response: response, choice: choice, exchange: exchange}, nil
 		}
+		exchange.fail(ctx, err)
 		h.skipServer(choice, response, err)
 		if refusal := h.checkRetry(ctx, err); refusal != nil {
 			return nil, refusal
@@ -229,6 +232,7 @@
 	var full *buffer.FullError
 	isWhole := err == nil && buffered.Len() < maxBufferedBytes
 	if err != nil && !errors.As(err, &full) {
+		response.exchange.end(ctx, err, 0)
 		h.skipServer(response.choice, response.Response, err)
 		refusal := h.checkRetry(ctx, connection.NewIncompleteResponseError(err))
 		return refusal, refusal == nil
@@ -245,8 +249,11 @@
 		if err := h.copyRest(response, buffered.Bytes()); err != nil {
 			h.abortErr = err
 			h.recordBreak(ctx, err)
+			response.exchange.end(ctx, err, 0)
+			return nil, false
 		}
 	}
+	response.exchange.end(ctx, nil, 0)
 	return nil, false
 }
 
@@ -256,7 +263,7 @@
 	if len(beginning) == 0 {
 		beginning = make([]byte, minCopyBytes)
 	}
-	_, err := io.CopyBuffer(struct{ io.Writer }{h.writer}, struct{ io.Reader }{response.Body}, beginning)
+	_, err := io.CopyBuffer(callerWriter{h.writer}, struct{ io.Reader }{response.Body}, beginning)
 	return err
 }
 
--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"go.uber.org/zap"
 
 	"limpethall.dev/hall/balance"
+	"limpethall.dev/hall/outlier"
 	"limpethall.dev/hall/ratelimit"
 	"limpethall.dev/hall/serverlimit"
 	"limpethall.dev/hall/turns"
@@ -107,6 +108,9 @@
 	Admitter Admitter
 	Turns    TurnStore
 	Balancer *balance.Balancer
+	// Outliers gets the results of requests at servers that the balancer compares. It may
+	// be nil.
+	Outliers *outlier.Detector
 	Limits   *serverlimit.Limiter
 	Backend  Backend
 	Crashes  CrashTracker
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"limpethall.dev/hall/balance"
 	"limpethall.dev/hall/gateway"
+	"limpethall.dev/hall/outlier"
 	"limpethall.dev/hall/ratelimit"
 	"limpethall.dev/hall/serverlimit"
 	"limpethall.dev/hall/turns"
@@ -195,6 +196,11 @@
 // newFixture returns a gateway with four backend servers and one route of each
 // kind.
 func newFixture(responses ...cannedResponse) *fixture {
+	return newFixtureWith(balance.Options{}, responses...)
+}
+
+// newFixtureWith is newFixture with a balancer of these options.
+func newFixtureWith(options balance.Options, responses ...cannedResponse) *fixture {
 	f := &fixture{backend: &fakeBackend{responses: responses}, admitter: &fakeAdmitter{}, turns: &fakeTurnStore{}, crashTracker: &fakeCrashTracker{}}
 	routes := []catalog.Route{
 		{Name: "safe", Hostname: "desk.example", Prefix: "/safe/", Kind: catalog.KindIdempotent, Attempts: 2},
@@ -212,7 +218,9 @@
 	})
 	f.catalog = current
 	directory := backend.NewDirectory()
-	balancer := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
+	options.Zone, options.Directory, options.HallCount = "a", directory, func() int { return 1 }
+	options.Outliers = outlier.New("hall-0", time.Now, zap.NewNop())
+	balancer := balance.New(options)
 	var servers []backend.Server
 	for index := range 4 {
 		servers = append(servers, backend.NewServer(backend.Options{ID: fmt.Sprintf("server-%d", index), Zone: "a", Service: "models", Slots: 8}))
@@ -223,7 +231,7 @@
 	f.logged = logged
 	f.options = gateway.Options{
 		Limits:  f.limits,
-		Catalog: func() *catalog.Catalog { return current }, Admitter: f.admitter, Turns: f.turns, Balancer: balancer,
+		Catalog: func() *catalog.Catalog { return current }, Admitter: f.admitter, Turns: f.turns, Balancer: balancer, Outliers: options.Outliers,
 		Backend: f.backend, Crashes: f.crashTracker, HallCount: func() int { return 1 }, Logger: zap.New(core),
 	}
 	f.gateway = gateway.New(f.options)
--- a/hall/gateway/limit.go
+++ b/hall/gateway/limit.go
@@ -23,7 +23,7 @@
 	}
 	query := balance.Query{
 		Service: h.service, AffinityKey: h.affinityKey, Prompt: h.request.Prompt, Tried: h.tried, Version: h.version,
-		MaxWait: maxWait, SkipLimited: h.limitRefusals >= maxLimitRefusals,
+		MaxWait: maxWait, SkipLimited: h.limitRefusals >= maxLimitRefusals, Work: h.expectedWork(),
 	}
 	if h.route.Sticky && h.request.Object != "" {
 		query.Object, query.AffinityKey = h.request.Object, ""
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -49,7 +49,9 @@
 	h.writeHeader(response.Response)
 	begun := time.Now()
 	for {
+		before := progress.events
 		err := h.relayEvents(response, progress)
+		response.exchange.end(ctx, err, max(0, progress.events-before-1)*max(1, h.service.EventTokens))
 		response.release()
 		if err == nil {
 			h.gateway.lateness.recordStream(h.service.Name, h.producedTokens(progress), time.Since(begun))
@@ -114,6 +116,18 @@
 // Unwrap returns the cause.
 func (e *callerError) Unwrap() error { return e.cause }
 
+// callerWriter writes to the caller.
+type callerWriter struct{ writer io.Writer }
+
+// Write implements io.Writer. It returns a *callerError if writing fails.
+func (w callerWriter) Write(data []byte) (int, error) {
+	count, err := w.writer.Write(data)
+	if err != nil {
+		return count, &callerError{cause: err}
+	}
+	return count, nil
+}
+
 // relayEvents relays complete events until the stream ends. Events that are
 // already buffered are flushed together.
 func (h *requestHandler) relayEvents(response *serverResponse, progress *streamProgress) error {
@@ -127,6 +141,7 @@
 		case err != nil:
 			return err
 		}
+		response.exchange.begin()
 		if _, err := h.writer.Write(event.Bytes()); err != nil {
 			return &callerError{cause: err}
 		}
