hall/gateway: move requests away from silent servers

A request at an unresponsive server was held until the caller's deadline. Where servers are compared, a server that sends nothing for longer than the upper usual time of the route and the prompt explain (at least 300 ms, 1 s between events) is recorded as silent once. A repeatable request with an attempt left moves on, unless the other servers are silent as well. One without an attempt ends with 504 if the server is ejected. Other requests wait. Tests of hall/gateway and hall/outlier pass with -race.

--- a/hall/gateway/breakoff.go
+++ b/hall/gateway/breakoff.go
@@ -26,6 +26,7 @@
 	breakCanceled     breakReason = "canceled"     // The caller left.
 	breakCaller       breakReason = "caller"       // Writing to the caller failed.
 	breakMemory       breakReason = "memory"       // This hall has no memory for more of it.
+	breakSilent       breakReason = "silent"       // The server sent nothing for too long.
 	breakOther        breakReason = "other"
 )
 
@@ -40,6 +41,8 @@
 		return breakMemory
 	case errors.As(err, &caller):
 		return breakCaller
+	case isSilence(err):
+		return breakSilent
 	case errors.As(err, &cut):
 		return breakInsideEvent
 	case errors.As(err, &tooLong):
--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -35,6 +35,7 @@
 // release closes the exchange and ends the request at the server in the balancer.
 func (r *serverResponse) release() {
 	r.Close()
+	r.exchange.stop()
 	r.choice.Done()
 }
 
@@ -66,8 +67,10 @@
 		h.sends++
 		h.recordProgram()
 		h.account.SetPriority(buffer.PriorityStarted)
-		exchange, sentAt := h.beginExchange(choice), time.Now()
-		response, err := h.gateway.options.Backend.Send(ctx, choice.Server(), h.newBackendRequest(resumeAfter))
+		exchange, exchangeCtx := h.beginExchange(ctx, choice)
+		sentAt := time.Now()
+		response, err := h.gateway.options.Backend.Send(exchangeCtx, choice.Server(), h.newBackendRequest(resumeAfter))
+		exchange.pauseWatch()
 		h.sendDuration += time.Since(sentAt)
 		if err == nil {
 			now := time.Now()
@@ -82,6 +85,7 @@
 		}
 		exchange.fail(ctx, err)
 		h.skipServer(choice, response, err)
+		exchange.stop()
 		if refusal := h.checkRetry(ctx, err); refusal != nil {
 			return nil, refusal
 		}
@@ -175,6 +179,9 @@
 	if ctx.Err() != nil {
 		return h.deadlineRefusal(ctx)
 	}
+	if isSilence(err) {
+		return h.silenceRefusal(err)
+	}
 	h.probeForCrash(h.lastChoice.Server())
 	if !h.route.IsRepeatable() {
 		return refuse(http.StatusBadGateway, "backend server failed before completing its response: %v", err)
@@ -182,6 +189,15 @@
 	return nil
 }
 
+// silenceRefusal is the refusal of a request whose server was silent, nil if it has an attempt
+// left. The caller may repeat it.
+func (h *requestHandler) silenceRefusal(err error) *Refusal {
+	if h.possibleRuns < h.maxAttempts() {
+		return nil
+	}
+	return refuse(http.StatusGatewayTimeout, "no response from the backend server: %v", err)
+}
+
 // deadlineRefusal is the refusal of a request whose deadline has passed or whose
 // caller has disconnected. It is retryable only if the request certainly did not
 // run.
@@ -230,6 +246,7 @@
 	buffered := buffer.NewOutput(h.account)
 	err := buffered.Fill(response.Body, maxBufferedBytes)
 	var full *buffer.FullError
+	err = response.exchange.explain(err)
 	isWhole := err == nil && buffered.Len() < maxBufferedBytes
 	if err != nil && !errors.As(err, &full) {
 		response.exchange.end(ctx, err, 0)
@@ -240,6 +257,7 @@
 	if response.Length < 0 && isWhole {
 		response.Length = int64(buffered.Len())
 	}
+	response.exchange.endWatch() // The response can't be replaced any more.
 	h.writeHeader(response.Response)
 	if _, err := h.writer.Write(buffered.Bytes()); err != nil {
 		h.abortErr = err
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -204,6 +204,7 @@
 	f := &fixture{backend: &fakeBackend{responses: responses}, admitter: &fakeAdmitter{}, turns: &fakeTurnStore{}, crashTracker: &fakeCrashTracker{}}
 	routes := []catalog.Route{
 		{Name: "safe", Hostname: "desk.example", Prefix: "/safe/", Kind: catalog.KindIdempotent, Attempts: 2},
+		{Name: "single", Hostname: "desk.example", Prefix: "/single/", Kind: catalog.KindIdempotent, Attempts: 1},
 		{Name: "once", Hostname: "desk.example", Prefix: "/once/", Kind: catalog.KindAtMostOnce, Attempts: 2},
 		{Name: "resumable", Hostname: "desk.example", Prefix: "/resumable/", Kind: catalog.KindStream, Attempts: 2, Resumable: true},
 		{Name: "kept", Hostname: "desk.example", Prefix: "/kept/", Kind: catalog.KindStream, Attempts: 2, KeepsHistory: true, Retention: time.Minute},
--- a/hall/gateway/metrics.go
+++ b/hall/gateway/metrics.go
@@ -22,6 +22,7 @@
 	readTokens      metric.Int64Counter
 	malformedHints  metric.Int64Counter
 	broken          metric.Int64Counter
+	silences        metric.Int64Counter
 }
 
 // NewMeters creates the instruments of a gateway.
@@ -43,6 +44,9 @@
 	if m.broken, err = meter.Int64Counter("limpethall.gateway.broken", metric.WithDescription("Responses of backend servers that were broken off, by reason.")); err != nil {
 		return nil, err
 	}
+	if m.silences, err = meter.Int64Counter("limpethall.gateway.silences", metric.WithDescription("Requests whose backend servers sent nothing for longer than usual, by what became of the request.")); err != nil {
+		return nil, err
+	}
 	buckets := metric.WithExplicitBucketBoundaries(0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 	if m.requestDuration, err = meter.Float64Histogram("limpethall.gateway.duration", metric.WithUnit("s"), buckets, metric.WithDescription("Time to the end of the answer.")); err != nil {
 		return nil, err
--- a/hall/gateway/observation.go
+++ b/hall/gateway/observation.go
@@ -26,16 +26,42 @@
 	handler  *requestHandler
 	choice   *balance.Choice
 	sentAt   time.Time
+	watch    *silenceWatch
 	begunAt  time.Time // Of the first event, or of the header of a response without events.
 	recorded atomic.Bool
 }
 
-// beginExchange begins to observe a request that is about to be sent.
-func (h *requestHandler) beginExchange(choice *balance.Choice) *exchange {
+// beginExchange begins to observe a request that is about to be sent with the context that it
+// returns.
+func (h *requestHandler) beginExchange(ctx context.Context, choice *balance.Choice) (*exchange, context.Context) {
 	if h.gateway.options.Outliers == nil || !h.gateway.options.Balancer.Compares(h.service.Name) {
-		return nil
+		return nil, ctx
+	}
+	e := &exchange{handler: h, choice: choice, sentAt: time.Now()}
+	e.watch, ctx = newSilenceWatch(ctx, e)
+	e.watch.wait()
+	return e, ctx
+}
+
+// stop ends the observation once the exchange is closed.
+func (e *exchange) stop() {
+	if e != nil {
+		e.watch.stop()
+	}
+}
+
+// endWatch ends the watch for silence for good.
+func (e *exchange) endWatch() {
+	if e != nil {
+		e.watch.end()
+	}
+}
+
+// pauseWatch ends the watch for silence while the hall doesn't wait for the server.
+func (e *exchange) pauseWatch() {
+	if e != nil {
+		e.watch.pause()
 	}
-	return &exchange{handler: h, choice: choice, sentAt: time.Now()}
 }
 
 // begin records that the response has begun.
@@ -47,13 +73,17 @@
 
 // receiveHeader records the status of a response that ran.
 func (e *exchange) receiveHeader(response *Response) {
-	switch {
-	case e == nil:
-	case response.Status >= http.StatusInternalServerError:
-		e.record(outlier.Observation{Result: outlier.Failed})
-	case !isEventStream(response):
+	if e == nil {
+		return
+	}
+	if !isEventStream(response) {
 		e.begin()
+		e.watch.markBegun()
+	}
+	if response.Status >= http.StatusInternalServerError {
+		e.record(outlier.Observation{Result: outlier.Failed})
 	}
+	response.Body = &watchedBody{body: response.Body, watch: e.watch}
 }
 
 // fail records the error of Backend.Send. A request that was certainly not sent says nothing
@@ -76,6 +106,8 @@
 		e.recordAnswer(tokens)
 	case ctx.Err() == nil:
 		e.record(outlier.Observation{Result: outlier.Failed})
+	case errors.Is(context.Cause(ctx), errDeadline) && e.begunAt.IsZero() && time.Since(e.sentAt) >= minSilence:
+		e.record(outlier.Observation{Result: outlier.Silent})
 	}
 }
 
@@ -93,6 +125,18 @@
 	}
 }
 
+// explain adds to the error of a read that the exchange was canceled because its server was
+// silent.
+func (e *exchange) explain(err error) error {
+	if e == nil || err == nil {
+		return err
+	}
+	if silent := e.watch.canceled(); silent != nil {
+		return errors.Join(silent, err)
+	}
+	return err
+}
+
 // record records the result of the exchange. It reports whether it is the first one.
 func (e *exchange) record(observation outlier.Observation) bool {
 	if e.recorded.Swap(true) {
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -50,7 +50,7 @@
 	begun := time.Now()
 	for {
 		before := progress.events
-		err := h.relayEvents(response, progress)
+		err := response.exchange.explain(h.relayEvents(response, progress))
 		response.exchange.end(ctx, err, max(0, progress.events-before-1)*max(1, h.service.EventTokens))
 		response.release()
 		if err == nil {
@@ -85,7 +85,7 @@
 	if full == nil {
 		h.lastChoice.ReportFailure(time.Now())
 	}
-	if serverFailed {
+	if serverFailed && !isSilence(cause) {
 		h.probeForCrash(h.lastChoice.Server())
 	}
 	resumable := h.route.Resumable && serverFailed
--- a/hall/outlier/evidence.go
+++ b/hall/outlier/evidence.go
@@ -88,8 +88,9 @@
 type baselines struct{ byRoute map[string]*baseline }
 
 type baseline struct {
-	logTime float64
-	count   int
+	logTime   float64
+	deviation float64 // Mean absolute deviation of the logarithm.
+	count     int
 }
 
 func newBaselines() *baselines { return &baselines{byRoute: make(map[string]*baseline)} }
@@ -107,6 +108,8 @@
 	}
 	ratio := min(maxRatio, max(1.0/maxRatio, math.Exp(logTime-known.logTime)))
 	known.count++
-	known.logTime += max(baselineGain, 1/float64(known.count)) * math.Log(ratio)
+	gain := max(baselineGain, 1/float64(known.count))
+	known.logTime += gain * math.Log(ratio)
+	known.deviation += gain * (math.Abs(math.Log(ratio)) - known.deviation)
 	return ratio
 }
--- a/hall/outlier/outlier.go
+++ b/hall/outlier/outlier.go
@@ -93,6 +93,8 @@
 	ejected     bool
 	returning   bool
 	maxOpen     int // Of a returning server.
+	answers     float64
+	silences    float64
 }
 
 // Slowness returns the time that work takes relative to the other servers: 1 is as usual, 2
@@ -117,7 +119,11 @@
 }
 
 // Assessment holds the verdicts on the servers of one service. Its nil value has no evidence.
-type Assessment struct{ verdicts map[string]Verdict }
+type Assessment struct {
+	verdicts map[string]Verdict
+	answers  float64 // Of all servers, weighted by age.
+	silences float64
+}
 
 // Of returns the verdict on a server.
 func (a *Assessment) Of(serverID string) Verdict {
@@ -187,7 +193,7 @@
 		server.own.addSpeed(service.baselines.ratio(observation.Route, observation.Work))
 	}
 	if observation.PerToken > 0 {
-		server.own.addSpeed(service.baselines.ratio(observation.Route+" per token", observation.PerToken))
+		server.own.addSpeed(service.baselines.ratio(perTokenOf(observation.Route), observation.PerToken))
 	}
 	d.sequence++
 	server.sequence = d.sequence
@@ -224,7 +230,10 @@
 		assessment.verdicts[id] = Verdict{
 			slowness: total.slowness(usual), failureRate: total.failureRate(),
 			ejected: known.ejected, returning: known.returning, maxOpen: 1 + int(total.answers)/2,
+			answers: total.answers, silences: total.silences,
 		}
+		assessment.answers += total.answers
+		assessment.silences += total.silences
 	}
 	service.assessment, service.assessedAt = assessment, now
 	return assessment
