--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -28,13 +28,15 @@
 // serverResponse is an open response with the balancer's choice of its server.
 type serverResponse struct {
 	*Response
-	choice *balance.Choice
-	sample *sample
+	choice   *balance.Choice
+	exchange *exchange
+	sample   *sample
 }
 
 // release closes the exchange and ends the request at the server in the balancer.
 func (r *serverResponse) release() {
 	r.Close()
+	r.exchange.stop()
 	r.choice.Done()
 	r.sample.end()
 }
@@ -71,9 +73,11 @@
 		h.sends++
 		h.recordProgram()
 		h.account.SetPriority(buffer.PriorityStarted)
+		exchange, exchangeCtx := h.beginExchange(ctx, choice)
 		sentAt := time.Now()
 		sample := h.newSample(choice.Server(), sentAt)
-		response, err := h.gateway.options.Backend.Send(ctx, choice.Server(), h.newBackendRequest(resumeAfter))
+		response, err := h.gateway.options.Backend.Send(exchangeCtx, choice.Server(), h.newBackendRequest(resumeAfter))
+		exchange.pauseWatch()
 		h.sendDuration += time.Since(sentAt)
 		if err == nil {
 			now := time.Now()
@@ -83,11 +87,14 @@
 		if err == nil && !response.NotRun {
 			choice.ReportStart(query, time.Since(sentAt))
 			h.reportLoad(choice, response)
+			exchange.receiveHeader(response)
 			sample.observe(response)
-			return &serverResponse{Response: response, choice: choice, sample: sample}, nil
+			return &serverResponse{Response: response, choice: choice, exchange: exchange, sample: sample}, nil
 		}
+		exchange.fail(ctx, err)
 		sample.endWithoutResponse(ctx, err)
 		h.skipServer(choice, response, err)
+		exchange.stop()
 		if refusal := h.checkRetry(ctx, err); refusal != nil {
 			return nil, refusal
 		}
@@ -181,6 +188,9 @@
 	if ctx.Err() != nil {
 		return h.deadlineRefusal(ctx)
 	}
+	if isSilence(err) {
+		return h.silenceRefusal(err)
+	}
 	h.probeForCrash(h.lastChoice.Server())
 	if !h.route.IsRepeatable() {
 		return refuse(http.StatusBadGateway, "backend server failed before completing its response: %v", err)
@@ -188,6 +198,15 @@
 	return nil
 }
 
+// silenceRefusal is the refusal of a request whose server was silent, nil if it has an attempt
+// left. The caller may repeat it.
+func (h *requestHandler) silenceRefusal(err error) *Refusal {
+	if h.possibleRuns < h.maxAttempts() {
+		return nil
+	}
+	return refuse(http.StatusGatewayTimeout, "no response from the backend server: %v", err)
+}
+
 // deadlineRefusal is the refusal of a request whose deadline has passed or whose
 // caller has disconnected. It is retryable only if the request certainly did not
 // run.
@@ -236,9 +255,11 @@
 	buffered := buffer.NewOutput(h.account)
 	err := buffered.Fill(response.Body, maxBufferedBytes)
 	var full *buffer.FullError
+	err = response.exchange.explain(err)
 	isWhole := err == nil && buffered.Len() < maxBufferedBytes
 	if err != nil && !errors.As(err, &full) {
 		response.sample.breakOff(ctx, err)
+		response.exchange.end(ctx, err, 0)
 		h.skipServer(response.choice, response.Response, err)
 		refusal := h.checkRetry(ctx, connection.NewIncompleteResponseError(err))
 		return refusal, refusal == nil
@@ -246,6 +267,7 @@
 	if response.Length < 0 && isWhole {
 		response.Length = int64(buffered.Len())
 	}
+	response.exchange.endWatch() // The response can't be replaced any more.
 	h.writeHeader(response.Response)
 	if _, err := h.writer.Write(buffered.Bytes()); err != nil {
 		h.abortErr = err
@@ -256,8 +278,11 @@
 			h.abortErr = err
 			response.sample.breakOff(ctx, response.sample.readError())
 			h.recordBreak(ctx, err)
+			response.exchange.end(ctx, err, 0)
+			return nil, false
 		}
 	}
+	response.exchange.end(ctx, nil, 0)
 	return nil, false
 }
 
@@ -267,7 +292,7 @@
 	if len(beginning) == 0 {
 		beginning = make([]byte, minCopyBytes)
 	}
-	_, err := io.CopyBuffer(struct{ io.Writer }{h.writer}, struct{ io.Reader }{response.Body}, beginning)
+	_, err := io.CopyBuffer(callerWriter{h.writer}, struct{ io.Reader }{response.Body}, beginning)
 	return err
 }
 
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -49,7 +49,9 @@
 	h.writeHeader(response.Response)
 	begun := time.Now()
 	for {
-		err := h.relayEvents(response, progress)
+		before := progress.events
+		err := response.exchange.explain(h.relayEvents(response, progress))
+		response.exchange.end(ctx, err, max(0, progress.events-before-1)*max(1, h.service.EventTokens))
 		response.sample.breakOff(ctx, err)
 		response.release()
 		if err == nil {
@@ -84,7 +86,7 @@
 	if full == nil {
 		h.lastChoice.ReportFailure(time.Now())
 	}
-	if serverFailed {
+	if serverFailed && !isSilence(cause) {
 		h.probeForCrash(h.lastChoice.Server())
 	}
 	resumable := h.route.Resumable && serverFailed
@@ -115,6 +117,18 @@
 // Unwrap returns the cause.
 func (e *callerError) Unwrap() error { return e.cause }
 
+// callerWriter writes to the caller.
+type callerWriter struct{ writer io.Writer }
+
+// Write implements io.Writer. It returns a *callerError if writing fails.
+func (w callerWriter) Write(data []byte) (int, error) {
+	count, err := w.writer.Write(data)
+	if err != nil {
+		return count, &callerError{cause: err}
+	}
+	return count, nil
+}
+
 // relayEvents relays complete events until the stream ends. Events that are
 // already buffered are flushed together.
 func (h *requestHandler) relayEvents(response *serverResponse, progress *streamProgress) error {
@@ -128,6 +142,7 @@
 		case err != nil:
 			return err
 		}
+		response.exchange.begin()
 		if _, err := h.writer.Write(event.Bytes()); err != nil {
 			return &callerError{cause: err}
 		}
