hall/balance: choose the zone of requests by load

Cause: the cost of another zone was a constant, whatever the load.

Change: for services whose servers are compared from the start, or of which a server has stated its pace, servers of other zones are candidates only if hall/zonechoice lets the request leave, if they hold enough of its history, or if the own zone cannot serve it. New metrics limpethall.hall.zone.requests and limpethall.hall.zone.portion; the request log has the zone and the reason. Other services are served as before.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -25,13 +25,15 @@
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"limpethall.dev/hall/zonechoice"
 	"limpethall.dev/kernel/backend"
 	"limpethall.dev/kernel/catalog"
 )
 
 const (
 	// crossZoneDelay is the round trip time to another availability zone, plus a
-	// small surcharge for the cost of traffic between zones.
+	// small surcharge for the cost of traffic between zones. It applies where the cost
+	// is not measured.
 	crossZoneDelay = 4 * time.Millisecond
 	// utilizationDelay is the delay of a request at a server whose slots are
 	// nearly all in use. At lower utilization it is scaled down linearly.
@@ -85,6 +87,8 @@
 	// a limit are full. If it is negative, the limit must have been unused for that long,
 	// and the request is not queued at a full server while others are at their limits.
 	MaxWait time.Duration
+	// Bytes is the size of the request and the expected response, zero if not known.
+	Bytes int64
 }
 
 // allowsVersion reports whether servers of the software version may be chosen.
@@ -108,6 +112,7 @@
 	directory *backend.Directory
 	hallCount func() int
 
+	zones    *zonechoice.Chooser // Guarded by the mutex. Nil if servers of all zones are always candidates.
 	mutex    sync.Mutex
 	states   map[string]*serverState
 	prompts  *promptCache
@@ -123,6 +128,9 @@
 	// HallCount returns the number of halls that divide the rate of a cold server among
 	// them.
 	HallCount func() int
+	// ZoneChoice decides which requests may leave the zone. Nil lets all of them, at a
+	// constant cost. The balancer is its only user.
+	ZoneChoice *zonechoice.Chooser
 }
 
 // New returns a Balancer.
@@ -132,7 +140,7 @@
 		panic(err) // Only returned for a size that is not positive.
 	}
 	b := &Balancer{
-		zone: options.Zone, directory: options.Directory, hallCount: options.HallCount,
+		zone: options.Zone, directory: options.Directory, hallCount: options.HallCount, zones: options.ZoneChoice,
 		states: make(map[string]*serverState), prompts: newPromptCache(), objects: newObjectCache(), affinity: affinity,
 	}
 	options.Directory.Subscribe(b.applyList)
@@ -152,6 +160,7 @@
 	if best.server.Cold(now) {
 		best.state.recordColdSend(now, query.Service, b.hallCount())
 	}
+	b.recordZone(query, best)
 	return &best, nil
 }
 
@@ -191,9 +200,9 @@
 	return nil
 }
 
-// selectServer returns the server with the lowest expected delay. The caller must hold
-// the mutex.
-func (b *Balancer) selectServer(now time.Time, query Query) (Choice, error) {
+// selectAmong returns the server with the lowest expected delay among those that the zone
+// rule allows. The caller must hold the mutex.
+func (b *Balancer) selectAmong(now time.Time, query Query, zones zoneRule) (Choice, error) {
 	list := b.directory.List()
 	usable := list.Usable(query.Service.Name)
 	prompt := b.prompts.estimate(now, query.Prompt, list, query.Service)
@@ -205,13 +214,18 @@
 		if query.Tried[server.ID()] || !query.allowsVersion(server.Version()) {
 			continue
 		}
+		zoneDelay, zoneReason, allowed := zones.assess(server, list, prompt, object, preferred)
+		if !allowed {
+			continue
+		}
 		state := b.stateOf(server)
 		if server.Cold(now) && !state.allowsColdSend(now, query.Service, b.hallCount()) {
 			noServer.cold++
 			continue
 		}
 		candidate := Choice{
-			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred),
+			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred) + zoneDelay,
+			zonePlan: zones.plan, zoneReason: zoneReason,
 			preferred: server.ID() == preferred || server.ID() == object.first, listAge: list.Age(now), reads: prompt.tokens(server.ID()),
 		}
 		candidate.reason = reasonFor(server.ID(), prompt, object, preferred)
@@ -286,9 +300,6 @@
 	if queued := requests - float64(slots) + 1; queued > 0 {
 		delay += time.Duration(queued * float64(queueDelay))
 	}
-	if server.Zone() != b.zone {
-		delay += crossZoneDelay
-	}
 	if preferred != "" && server.ID() != preferred {
 		if len(query.Prompt) == 0 && b.affinity.Contains(query.AffinityKey) {
 			delay += recomputeDelay
@@ -308,6 +319,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.prompts.generation++
+	b.retainZones(list)
 	for id, state := range b.states {
 		if _, found := list.Lookup(id); !found && state.outstanding == 0 {
 			delete(b.states, id)
--- a/hall/balance/choice.go
+++ b/hall/balance/choice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limpethall.dev/hall/zonechoice"
 	"limpethall.dev/kernel/backend"
 )
 
@@ -22,6 +23,9 @@
 	readDelay time.Duration
 	reason    Reason
 	done      bool
+
+	zonePlan   zonechoice.Plan
+	zoneReason zonechoice.Reason // Why the request leaves the zone although the plan does not allow it.
 }
 
 // Reason is why a server was preferred to others with the same load.
@@ -93,6 +97,7 @@
 	if len(query.Prompt) > 0 {
 		c.balancer.prompts.recordSpeed(c.reads, duration)
 	}
+	c.balancer.recordStart(c, query, duration)
 	if query.Object != "" {
 		c.balancer.objects.record(query, c.server.ID(), c.preferred, duration)
 	}
@@ -102,6 +107,7 @@
 func (c *Choice) ReportLoad(now time.Time, load Load) {
 	c.balancer.mutex.Lock()
 	defer c.balancer.mutex.Unlock()
+	c.balancer.recordPace(c.server.Service(), load)
 	c.state.lastReport = load
 	c.state.reportedAt = now
 	c.state.outstandingAtReport = c.state.outstanding
--- /dev/null
+++ b/hall/balance/zone_test.go
@@ -0,0 +1,155 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethall.dev/hall/balance"
+	"limpethall.dev/hall/zonechoice"
+	"limpethall.dev/kernel/backend"
+)
+
+// newZoned returns the balancer of the only hall of zone a, with two servers in it and two in
+// zone b.
+func newZoned(always bool) (*balance.Balancer, *backend.Directory) {
+	directory := backend.NewDirectory()
+	chooser := zonechoice.New(zonechoice.Options{Zone: "a", Always: always, Seed: 1, Logger: zap.NewNop()})
+	b := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }, ZoneChoice: chooser})
+	publish(directory, zoneOptions()...)
+	return b, directory
+}
+
+func zoneOptions() []backend.Options {
+	return []backend.Options{{ID: "a1", Zone: "a"}, {ID: "a2", Zone: "a"}, {ID: "b1", Zone: "b"}, {ID: "b2", Zone: "b"}}
+}
+
+// TestWithoutPaceChoicesAreUnchanged compares a balancer that may choose zones by load with
+// one that cannot, for a service whose servers state no pace: it must be served as before.
+func TestWithoutPaceChoicesAreUnchanged(t *testing.T) {
+	directory := backend.NewDirectory()
+	before := balance.New(balance.Options{Zone: "a", Directory: directory, HallCount: func() int { return 1 }})
+	publish(directory, zoneOptions()...)
+	zoned, _ := newZoned(false)
+	now := time.Now()
+	for index := range 60 {
+		var got [2]string
+		for which, b := range []*balance.Balancer{before, zoned} {
+			choice, err := b.Choose(now, balance.Query{Service: modelService, AffinityKey: fmt.Sprint(index % 7)})
+			if err != nil {
+				t.Fatalf("choose: %v", err)
+			}
+			got[which] = choice.Server().ID()
+			if index%3 == 0 {
+				choice.ReportLoad(now, balance.Load{Running: index % 8, Slots: 8})
+			}
+			if index%4 == 0 {
+				choice.Done()
+			}
+		}
+		if got[0] != got[1] {
+			t.Fatalf("server of request %d: got %s, want %s as without zone choice", index, got[1], got[0])
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	if outcomes, portions := zoned.ZoneOutcomes(); len(outcomes) > 0 || len(portions) > 0 {
+		t.Errorf("counted requests and portions: got %v and %v, want none", outcomes, portions)
+	}
+}
+
+// TestRequestsStayWhileOwnZoneHasRoom fills the own zone to three quarters, with idle servers
+// in the other zone: no request must leave, as it did when the way cost a constant. Once the
+// servers of the own zone have long queues, requests must leave.
+func TestRequestsStayWhileOwnZoneHasRoom(t *testing.T) {
+	b, _ := newZoned(true)
+	now := time.Now()
+	zones := make(map[string]int)
+	for index := range 60 {
+		choice, err := b.Choose(now, balance.Query{Service: modelService})
+		if err != nil {
+			t.Fatalf("choose: %v", err)
+		}
+		zones[choice.Server().Zone()]++
+		if index == 11 {
+			if zones["b"] > 0 {
+				t.Errorf("requests that left a zone with 12 of 16 slots in use: got %d, want 0", zones["b"])
+			}
+		}
+		now = now.Add(60 * time.Millisecond)
+	}
+	if zones["b"] < 10 {
+		t.Errorf("requests that left, of 60 in a zone with 16 slots: got %d, want at least 10", zones["b"])
+	}
+	outcomes, _ := b.ZoneOutcomes()
+	if got := outcomes[zonechoice.Outcome{Other: true, Reason: zonechoice.ReasonPortion}]; got == 0 {
+		t.Errorf("outcomes: got %v, want requests that left by the portion", outcomes)
+	}
+}
+
+// TestRequestsLeaveZoneThatCannotServe checks that a request leaves at once if the servers of
+// its zone failed, are excluded, or were tried before.
+func TestRequestsLeaveZoneThatCannotServe(t *testing.T) {
+	for name, prepare := range map[string]func(b *balance.Balancer, directory *backend.Directory, query *balance.Query){
+		"failed": func(b *balance.Balancer, _ *backend.Directory, _ *balance.Query) {
+			for _, tried := range []string{"a1", "a2"} {
+				other := map[string]bool{"a1": true, "a2": true}
+				delete(other, tried)
+				choice, err := b.Choose(time.Now(), balance.Query{Service: modelService, Tried: other})
+				if err != nil || choice.Server().ID() != tried {
+					t.Fatalf("choose: got %v and error %v, want %s", choice, err, tried)
+				}
+				choice.ReportFailure(time.Now())
+				choice.Done()
+			}
+		},
+		"excluded": func(_ *balance.Balancer, directory *backend.Directory, _ *balance.Query) {
+			var servers []backend.Server
+			for _, options := range zoneOptions() {
+				options.Service = "models"
+				servers = append(servers, backend.NewServer(options))
+			}
+			directory.Publish(backend.NewList(2, time.Now(), servers, map[string]bool{"a": true}))
+		},
+		"tried": func(_ *balance.Balancer, _ *backend.Directory, query *balance.Query) {
+			query.Tried = map[string]bool{"a1": true, "a2": true}
+		},
+	} {
+		b, directory := newZoned(true)
+		query := balance.Query{Service: modelService}
+		prepare(b, directory, &query)
+		choice, err := b.Choose(time.Now(), query)
+		if err != nil {
+			t.Fatalf("%s: choose: %v", name, err)
+		}
+		if got, want := choice.Server().Zone(), "b"; got != want {
+			t.Errorf("%s: zone of the request: got %s, want %s", name, got, want)
+		}
+	}
+}
+
+// TestProgramReturnsToItsHistory checks that a program goes on at the server in another zone
+// that holds its history: reading it again at home would take longer than the way.
+func TestProgramReturnsToItsHistory(t *testing.T) {
+	b, _ := newZoned(true)
+	query := balance.Query{Service: modelService, AffinityKey: "program", Prompt: []balance.PromptPart{balance.NewPromptPart("history", 20_000)}}
+	abroad := query
+	abroad.Tried = map[string]bool{"a1": true, "a2": true}
+	first, err := b.Choose(time.Now(), abroad)
+	if err != nil {
+		t.Fatalf("choose: %v", err)
+	}
+	first.SetAffinity(time.Now(), query)
+	first.Done()
+	next, err := b.Choose(time.Now(), query)
+	if err != nil {
+		t.Fatalf("choose: %v", err)
+	}
+	if got, want := next.Server().ID(), first.Server().ID(); got != want {
+		t.Errorf("server of the next turn: got %s, want %s", got, want)
+	}
+	if got, want := next.ZoneReason(), zonechoice.ReasonHistory; got != want {
+		t.Errorf("reason: got %s, want %s", got, want)
+	}
+}
--- a/hall/gateway/limit.go
+++ b/hall/gateway/limit.go
@@ -15,6 +15,10 @@
 	"limpethall.dev/kernel/task"
 )
 
+// eventTokenBytes is the approximate size of one token in an event stream, with the framing of
+// its event.
+const eventTokenBytes = 16
+
 // balancerQuery returns the query for the server of the next send.
 func (h *requestHandler) balancerQuery() balance.Query {
 	maxWait := min(maxLimitWait, time.Until(h.deadline)/2)
@@ -23,7 +27,7 @@
 	}
 	query := balance.Query{
 		Service: h.service, AffinityKey: h.affinityKey, Prompt: h.request.Prompt, Tried: h.tried, Version: h.version,
-		MaxWait: maxWait, SkipLimited: h.limitRefusals >= maxLimitRefusals,
+		MaxWait: maxWait, SkipLimited: h.limitRefusals >= maxLimitRefusals, Bytes: h.expectedBytes(),
 	}
 	if h.route.Sticky && h.request.Object != "" {
 		query.Object, query.AffinityKey = h.request.Object, ""
@@ -34,6 +38,19 @@
 	return query
 }
 
+// expectedBytes returns the size of the request and of the response to be expected.
+func (h *requestHandler) expectedBytes() int64 {
+	tokens := h.request.MaxTokens
+	if h.request.LengthHint > 0 {
+		tokens = h.request.LengthHint
+	}
+	bytes := tokens * eventTokenBytes
+	for _, part := range h.body {
+		bytes += int64(len(part))
+	}
+	return bytes
+}
+
 // awaitLimit waits until the request may be sent to the chosen server, which names a
 // limit. allowed is false if the limit does not allow it in time, so that another
 // server is to be chosen.
--- a/hall/gateway/metrics.go
+++ b/hall/gateway/metrics.go
@@ -92,6 +92,9 @@
 		fields = append(fields, zap.Int64("promptTokens", promptTokens(h.request.Prompt)), zap.Int("promptParts", len(h.request.Prompt)), zap.Int64("readTokens", tokens), zap.Duration("readCost", delay), zap.String("choice", string(h.lastChoice.Reason())))
 		fields = append(fields, zap.String("server", h.lastChoice.Server().ID()), zap.String("version", h.lastChoice.Server().Version()), zap.Duration("cost", h.lastChoice.ExpectedDelay()),
 			zap.Float64("serverLimit", h.gateway.options.Limits.Tracker().Current(h.lastChoice.Server().ID()).Statement().Rate()), zap.Bool("home", h.lastChoice.IsPreferred()), zap.Duration("listAge", h.lastChoice.ListAge()))
+		if reason := h.lastChoice.ZoneReason(); reason != "" {
+			fields = append(fields, zap.String("zone", h.lastChoice.Server().Zone()), zap.String("zoneReason", string(reason)))
+		}
 	}
 	if h.refusal != nil {
 		status = h.refusal.status
