--- a/hall/zonechoice/zonechoice.go
+++ b/hall/zonechoice/zonechoice.go
@@ -341,7 +341,7 @@
 	}
 	service.loggedAt, service.loggedPortion, service.loggedReason = now, current.value, current.reason
 	c.options.Logger.Info("portion of requests that may leave the zone", zap.String("service", name), zap.String("zone", c.options.Zone),
-		zap.Float64("portion", current.value), zap.String("reason", string(current.reason)),
+		zap.Float64("portion", current.value), zap.String("reason", string(current.reason)), zap.Float64("load", in.own.load()),
 		zap.Int("servers", in.own.servers), zap.Int("failedServers", in.own.unusables), zap.Float64("slots", in.own.slots), zap.Float64("requests", in.own.requests),
 		zap.Float64("room", in.own.room), zap.Duration("wait", in.own.wait()), zap.Duration("oldestReport", in.own.oldest),
 		zap.Int("otherServers", in.other.servers), zap.Float64("otherSlots", in.other.slots), zap.Float64("otherRequests", in.other.requests),
