hallctl where: ask a running hall where a request would go

Cause: operators could see why a request went to a server only afterwards, in logs.

Change: Balancer.Explain runs the selection of Choose with a trace of the candidates, Gateway.Explain the identification before it. Halls serve it as wire.Routing at their address for other hosts, and hallctl where prints it. Nothing is sent or counted.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -212,15 +212,18 @@
 	var limited []Choice
 	for _, server := range usable {
 		if query.Tried[server.ID()] || !query.allowsVersion(server.Version()) {
+			zones.trace.exclude(server, "version or tried before")
 			continue
 		}
 		zoneDelay, zoneReason, allowed := zones.assess(server, list, prompt, object, preferred)
 		if !allowed {
+			zones.trace.exclude(server, "request stays in its zone")
 			continue
 		}
 		state := b.stateOf(server)
 		if server.Cold(now) && !state.allowsColdSend(now, query.Service, b.hallCount()) {
 			noServer.cold++
+			zones.trace.exclude(server, "cold and at its rate limit")
 			continue
 		}
 		candidate := Choice{
@@ -234,6 +237,7 @@
 		if query.Limit != nil {
 			candidate.limitRate, candidate.limited = query.Limit(server.ID())
 		}
+		zones.trace.consider(now, query, candidate, zoneDelay)
 		if candidate.limited {
 			limited = append(limited, candidate)
 		} else if candidate.delay < best.delay {
--- a/hall/balance/zone.go
+++ b/hall/balance/zone.go
@@ -15,6 +15,7 @@
 	measured bool // Whether the requests of the service are restricted to a zone, and the cost is measured.
 	all      bool // Whether the servers of all zones are candidates nevertheless.
 	plan     zonechoice.Plan
+	trace    *trace // Nil unless the choice is explained.
 }
 
 // zoneRule returns the rule for the request. The caller must hold the mutex.
@@ -56,12 +57,19 @@
 // selectServer returns the server with the lowest expected delay. If no server that the zone
 // rule allows is in use, those of all zones are candidates. The caller must hold the mutex.
 func (b *Balancer) selectServer(now time.Time, query Query) (Choice, error) {
+	return b.selectTraced(now, query, nil)
+}
+
+// selectTraced is selectServer, and records the candidates in the trace unless it is nil.
+func (b *Balancer) selectTraced(now time.Time, query Query, trace *trace) (Choice, error) {
 	rule := b.zoneRule(now, query)
+	rule.trace = trace
 	best, err := b.selectAmong(now, query, rule)
 	if rule.all || (err == nil && now.Sub(best.state.failedAt) >= failureWindow) {
 		return best, err
 	}
 	rule.all = true
+	trace.reset()
 	return b.selectAmong(now, query, rule)
 }
 
--- a/hall/balance/zone_test.go
+++ b/hall/balance/zone_test.go
@@ -153,3 +153,45 @@
 		t.Errorf("reason: got %s, want %s", got, want)
 	}
 }
+
+// TestExplainChoosesAsForRequests guards against an explanation that differs from what the next
+// request gets, or that changes it: questions of operators must not move requests.
+func TestExplainChoosesAsForRequests(t *testing.T) {
+	b, _ := newZoned(true)
+	now := time.Now()
+	for index := range 80 {
+		query := balance.Query{Service: modelService, AffinityKey: fmt.Sprint(index % 9)}
+		first, second := b.Explain(now, query), b.Explain(now, query)
+		choice, err := b.Choose(now, query)
+		if err != nil || first.Err() != nil || second.Err() != nil {
+			t.Fatalf("errors: got %v, %v and %v, want none", err, first.Err(), second.Err())
+		}
+		if got, again, want := first.Choice().Server().ID(), second.Choice().Server().ID(), choice.Server().ID(); got != want || again != want {
+			t.Fatalf("explained servers of request %d: got %s and %s, want %s", index, got, again, want)
+		}
+		if got, want := first.Choice().ZoneReason(), choice.ZoneReason(); choice.Server().Zone() == "b" && got != want {
+			t.Errorf("explained reason of request %d: got %s, want %s", index, got, want)
+		}
+		excluded := 0
+		for _, candidate := range first.Candidates() {
+			if candidate.Excluded() != "" {
+				excluded++
+			}
+		}
+		if got, want := len(first.Candidates()), 4; got != want {
+			t.Errorf("candidates of request %d: got %d, want %d", index, got, want)
+		}
+		if index == 0 && excluded != 2 {
+			t.Errorf("excluded servers while the own zone has room: got %d, want the 2 of the other zone", excluded)
+		}
+		now = now.Add(40 * time.Millisecond)
+	}
+	outcomes, _ := b.ZoneOutcomes()
+	counted := int64(0)
+	for _, count := range outcomes {
+		counted += count
+	}
+	if got, want := counted, int64(80); got != want {
+		t.Errorf("counted requests: got %d, want %d", got, want)
+	}
+}
--- a/hallctl/cmd/hallctl/cmds/cmds.go
+++ b/hallctl/cmd/hallctl/cmds/cmds.go
@@ -66,6 +66,7 @@
 	// argument is the positional argument of the selected command.
 	argument string
 	logPaths []string
+	where    operator.WhereOptions
 	run      func(ctx context.Context, tool *operator.Tool) error
 	// runOffline is set instead of run for commands that need neither a settings file
 	// nor a connection to the deployment.
--- a/hallctl/cmd/hallctl/cmds/subcommands.go
+++ b/hallctl/cmd/hallctl/cmds/subcommands.go
@@ -43,7 +43,7 @@
 }
 
 func (l *commandLine) commandGroups() []commandGroup {
-	return []commandGroup{l.tableCommands(), l.keyCommands(), l.serviceStateCommands("zone", setZone), l.serviceStateCommands("server", setServer), l.statusCommand(), l.programCommands(), l.explainCommand()}
+	return []commandGroup{l.tableCommands(), l.keyCommands(), l.serviceStateCommands("zone", setZone), l.serviceStateCommands("server", setServer), l.statusCommand(), l.programCommands(), l.explainCommand(), l.whereCommand()}
 }
 
 func newCommandGroup(name, description string, subcommands ...subcommand) commandGroup {
@@ -159,3 +159,21 @@
 	}
 	return commandGroup{parser: explain.parser, subcommands: []subcommand{explain}}
 }
+
+func (l *commandLine) whereCommand() commandGroup {
+	where := l.newSubcommand("where", "Ask a running hall where a request would be sent now, and why. No request is sent.", "host/path", nil)
+	where.parser.String(&l.where.Hall, "a", "hall", "Address of the hall for other hosts, as on the roster.")
+	where.parser.String(&l.where.Workspace, "w", "workspace", "The workspace that sends the request.")
+	where.parser.String(&l.where.Program, "p", "program", "The program of the request.")
+	where.parser.String(&l.where.Object, "o", "object", "The object that the request concerns.")
+	where.parser.StringSlice(&l.where.Prompt, "r", "prompt", "A part of the prompt as ID:TOKENS. Can be repeated.")
+	where.newRunOffline = func(l *commandLine) func() error {
+		return func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+			defer cancel()
+			l.where.Target = l.argument
+			return operator.Where(ctx, l.where, os.Stdout, l.asJSON)
+		}
+	}
+	return commandGroup{parser: where.parser, subcommands: []subcommand{where}}
+}
