hall/zonechoice: draw a server that is to hold the first part of the prompt

Cause: a request that may leave its zone had two drawn servers elsewhere as candidates.

Change: a third candidate is drawn from the servers that are to hold the part. The cost of the way is computed only for candidates.

Result: go test -race of hall/balance, hall/zonechoice and hall/gateway passes.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -206,6 +206,7 @@
 	list := b.directory.List()
 	usable := list.Usable(query.Service.Name)
 	prompt := b.prompts.estimate(now, query.Prompt, list, query.Service)
+	zones.prefer(prompt)
 	preferred, object := b.preferredServer(query, usable, prompt), b.objects.estimate(query, usable)
 	best := Choice{delay: math.MaxInt64}
 	noServer := &NoServerError{service: query.Service.Name, usable: len(usable)}
--- a/hall/balance/zone.go
+++ b/hall/balance/zone.go
@@ -83,17 +83,31 @@
 	case !r.measured:
 		return crossZoneDelay, "", true
 	}
+	allowed = r.plan.Allows(server.ID())
+	saved := time.Duration(0)
+	if !allowed {
+		if saved = r.savedTime(server.ID(), list, prompt, object, preferred); saved <= 0 && !r.all {
+			return 0, "", false // The usual case, without the cost of the way.
+		}
+	}
 	delay = b.zones.Cost(r.query.Service.Name, server.Zone(), r.query.Bytes)
 	switch {
-	case r.plan.Allows(server.ID()):
+	case allowed:
 		return delay, "", true
-	case r.savedTime(server.ID(), list, prompt, object, preferred) > delay:
+	case saved > delay:
 		return delay, zonechoice.ReasonHistory, true
 	default:
 		return delay, zonechoice.ReasonUnusable, r.all
 	}
 }
 
+// prefer adds a candidate that is to hold the first part of the prompt.
+func (r *zoneRule) prefer(prompt promptEstimate) {
+	if r.measured {
+		r.plan = r.balancer.zones.Prefer(r.query.Service.Name, r.plan, prompt.agreed)
+	}
+}
+
 // savedTime returns how much sooner the server answers than those of the own zone because of
 // what it has handled before, according to what this hall sent to it.
 func (r *zoneRule) savedTime(serverID string, list *backend.List, prompt promptEstimate, object objectEstimate, preferred string) time.Duration {
--- a/hall/balance/zone_test.go
+++ b/hall/balance/zone_test.go
@@ -10,6 +10,7 @@
 	"limpethall.dev/hall/balance"
 	"limpethall.dev/hall/zonechoice"
 	"limpethall.dev/kernel/backend"
+	"limpethall.dev/kernel/catalog"
 )
 
 // newZoned returns the balancer of the only hall of zone a, with two servers in it and two in
@@ -195,3 +196,32 @@
 		t.Errorf("counted requests: got %d, want %d", got, want)
 	}
 }
+
+// TestSharedFirstPartLeavesToItsServers checks that requests with a shared first part leave a
+// zone without servers to those that are to hold the part: two drawn ones alone would mostly
+// have to read it.
+func TestSharedFirstPartLeavesToItsServers(t *testing.T) {
+	b, directory := newZoned(true)
+	var options []backend.Options
+	for index := range 12 {
+		options = append(options, backend.Options{ID: fmt.Sprintf("b-%d", index), Zone: "b"})
+	}
+	publish(directory, options...)
+	service := &catalog.Service{Name: "models", Slots: 8, CacheTokens: 20_000}
+	now, atHolders := time.Now(), 0
+	for index := range 40 {
+		query := balance.Query{Service: service, Prompt: []balance.PromptPart{balance.NewPromptPart(fmt.Sprint("head-", index), 10_000), balance.NewPromptPart("rest", 100)}}
+		choice, err := b.Choose(now, query)
+		if err != nil {
+			t.Fatalf("choose: %v", err)
+		}
+		if choice.Reason() == balance.ReasonFirstPart {
+			atHolders++
+		}
+		choice.Done()
+		now = now.Add(20 * time.Millisecond)
+	}
+	if got, want := atHolders, 40; got != want {
+		t.Errorf("requests at a server that is to hold their first part: got %d, want %d", got, want)
+	}
+}
--- a/hall/zonechoice/zonechoice.go
+++ b/hall/zonechoice/zonechoice.go
@@ -17,7 +17,7 @@
 //		chooser.Update(now, "models", servers)
 //	}
 //	plan := chooser.Plan("models")
-//	if plan.MayLeave() { first, second := plan.Servers() … }
+//	if plan.Allows("i-7f3a") { … }
 //	chooser.Record("models", plan, "hu-central-b", false, requestBytes) // After it was sent.
 package zonechoice
 
@@ -52,10 +52,11 @@
 	// minWeight is the weight of the slots of a server without room, against free slots, when
 	// servers are drawn.
 	minWeight = 0.02
-	// goldenRatio and silverRatio are steps of sequences that fill the range from 0 to 1
-	// evenly.
-	goldenRatio = 0.6180339887498949
-	silverRatio = 0.4142135623730951
+	// goldenRatio, silverRatio and plasticRatio are steps of sequences that fill the range
+	// from 0 to 1 evenly.
+	goldenRatio  = 0.6180339887498949
+	silverRatio  = 0.4142135623730951
+	plasticRatio = 0.7548776662466927
 )
 
 // Options are the settings and dependencies of a Chooser.
@@ -104,10 +105,10 @@
 	loggedReason  Reason
 }
 
-// weightedServer is a server of another zone, with the sum of the weights up to it.
+// weightedServer is a server of another zone with its weight in draws.
 type weightedServer struct {
-	id  string
-	sum float64
+	id     string
+	weight float64
 }
 
 // New returns a Chooser under which no request leaves its zone.
@@ -177,7 +178,6 @@
 	zones := make(map[string]*zoneLoad)
 	var in inputs
 	service.weights = service.weights[:0]
-	sum := 0.0
 	for _, server := range servers {
 		if server.Zone == c.options.Zone {
 			in.own.add(server)
@@ -189,8 +189,7 @@
 		}
 		zones[server.Zone].add(server)
 		if !server.HasFailed {
-			sum += max(server.room(), minWeight*float64(server.Slots))
-			service.weights = append(service.weights, weightedServer{id: server.ID, sum: sum})
+			service.weights = append(service.weights, weightedServer{id: server.ID, weight: max(server.room(), minWeight*float64(server.Slots))})
 		}
 	}
 	in.otherWait, in.cost = c.expectation(name, zones)
@@ -252,7 +251,7 @@
 	mayLeave bool
 	counted  bool // Whether the request belongs to the portion.
 	reason   Reason
-	servers  [2]string
+	servers  [3]string
 }
 
 // MayLeave reports whether the request may be sent to one of the servers of other zones.
@@ -263,13 +262,15 @@
 
 // Allows reports whether the server of another zone may be chosen.
 func (p Plan) Allows(serverID string) bool {
-	return p.mayLeave && (serverID == p.servers[0] || serverID == p.servers[1])
+	return p.mayLeave && (serverID == p.servers[0] || serverID == p.servers[1] || serverID == p.servers[2])
 }
 
 // Servers returns the servers of other zones that may be chosen, empty if there are none. They
-// are two, drawn by their free capacity, so that the halls of a zone do not all choose the one
-// that looks best.
-func (p Plan) Servers() (first, second string) { return p.servers[0], p.servers[1] }
+// are drawn by their free capacity, so that the halls of a zone do not all choose the one that
+// looks best. The third is set by Prefer.
+func (p Plan) Servers() (first, second, third string) {
+	return p.servers[0], p.servers[1], p.servers[2]
+}
 
 // Plan returns the decision about the next request of the service. It is the same until
 // Record is called.
@@ -285,26 +286,43 @@
 		}
 	}
 	if plan.mayLeave {
-		plan.servers[0] = service.draw(goldenRatio)
-		plan.servers[1] = service.draw(silverRatio)
+		plan.servers[0] = service.draw(goldenRatio, nil)
+		plan.servers[1] = service.draw(silverRatio, nil)
 	}
 	return plan
 }
 
-// draw returns a server of another zone. Each gets a part of the draws in proportion to its
-// weight.
-func (s *service) draw(step float64) string {
-	if len(s.weights) == 0 {
-		return ""
+// Prefer returns the plan with a third server, drawn from those that the map has, if there are
+// any. They are to hold a part of the prompt, which others would have to read.
+func (c *Chooser) Prefer(name string, plan Plan, preferred map[string]bool) Plan {
+	if plan.mayLeave && len(preferred) > 0 {
+		plan.servers[2] = c.service(name).draw(plasticRatio, preferred)
+	}
+	return plan
+}
+
+// draw returns a server of another zone, which is one of those in the map unless that is nil. It
+// is empty if there is none. Each gets a part of the draws in proportion to its weight.
+func (s *service) draw(step float64, among map[string]bool) string {
+	total := 0.0
+	for _, server := range s.weights {
+		if among == nil || among[server.id] {
+			total += server.weight
+		}
 	}
 	_, position := math.Modf(s.offset + float64(s.drawn)*step)
-	position *= s.weights[len(s.weights)-1].sum
+	position *= total
+	drawn := ""
 	for _, server := range s.weights {
-		if position < server.sum {
-			return server.id
+		if among != nil && !among[server.id] {
+			continue
+		}
+		if drawn = server.id; position < server.weight {
+			break
 		}
+		position -= server.weight
 	}
-	return s.weights[len(s.weights)-1].id
+	return drawn
 }
 
 // Record counts a request that was sent according to the plan to a server of the zone. reason
--- a/hall/zonechoice/zonechoice_test.go
+++ b/hall/zonechoice/zonechoice_test.go
@@ -82,7 +82,7 @@
 		now = run(chooser, now, step, append(own, servers("b", 4, 1)...))
 		for range 20 {
 			plan := chooser.Plan(service)
-			if first, _ := plan.Servers(); !plan.MayLeave() || first == "" {
+			if first, _, _ := plan.Servers(); !plan.MayLeave() || first == "" {
 				t.Fatalf("%s: plan: got %v, want one that may leave", name, plan)
 			}
 			chooser.Record(service, plan, "b", "", 0)
@@ -128,15 +128,18 @@
 func TestDrawsAreSpread(t *testing.T) {
 	own, other := servers("a", 4, 20), append(servers("b", 6, 5), servers("c", 6, 5)...)
 	other[0].Requests, other[1].Requests = 0, 8 // 8 and 0 free slots, the others have 3.
-	drawn := make(map[string]int)
+	drawn, preferred := make(map[string]int), make(map[string]int)
 	for hall := range 8 {
 		chooser := newChooser("a", uint64(1+hall*7919))
 		run(chooser, start, 2*time.Second, append(own, other...))
 		for range 40 {
-			plan := chooser.Plan(service)
-			first, second := plan.Servers()
+			plan := chooser.Prefer(service, chooser.Plan(service), map[string]bool{"c-1": true, "c-2": true})
+			first, second, third := plan.Servers()
 			drawn[first]++
 			drawn[second]++
+			if preferred[third]++; !plan.Allows(first) || !plan.Allows(second) || !plan.Allows(third) || plan.Allows("c-0") != (first == "c-0" || second == "c-0") {
+				t.Fatalf("allowed servers: got others than %s, %s and %s", first, second, third)
+			}
 			chooser.Record(service, plan, "b", "", 0)
 		}
 	}
@@ -147,6 +150,9 @@
 			t.Errorf("draws of %s with %v requests: got %v, want about %.0f", server.ID, server.Requests, got, want)
 		}
 	}
+	if got := preferred["c-1"]; got < 128 || got > 192 || got+preferred["c-2"] != 320 {
+		t.Errorf("draws of two preferred servers: got %v, want about 160 of each and no others", preferred)
+	}
 }
 
 // TestCost checks that the way is measured where servers are fast, is never taken for less
