--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -27,13 +27,15 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"limpethall.dev/hall/outlier"
+	"limpethall.dev/hall/zonechoice"
 	"limpethall.dev/kernel/backend"
 	"limpethall.dev/kernel/catalog"
 )
 
 const (
 	// crossZoneDelay is the round trip time to another availability zone, plus a
-	// small surcharge for the cost of traffic between zones.
+	// small surcharge for the cost of traffic between zones. It applies where the cost
+	// is not measured.
 	crossZoneDelay = 4 * time.Millisecond
 	// utilizationDelay is the delay of a request at a server whose slots are
 	// nearly all in use. At lower utilization it is scaled down linearly.
@@ -90,6 +92,8 @@
 	// Work is how long the response is expected to take at a usual server. It counts where
 	// servers are compared.
 	Work time.Duration
+	// Bytes is the size of the request and the expected response, zero if not known.
+	Bytes int64
 }
 
 // allowsVersion reports whether servers of the software version may be chosen.
@@ -116,6 +120,7 @@
 
 	comparesServers bool
 
+	zones    *zonechoice.Chooser // Guarded by the mutex. Nil if servers of all zones are always candidates.
 	mutex    sync.Mutex
 	states   map[string]*serverState
 	paced    map[string]bool // Services of which a server has reported its pace.
@@ -137,6 +142,9 @@
 	// ComparesServers says whether the servers of all services are compared from the start.
 	// Otherwise those of a service are once one of them has reported its pace.
 	ComparesServers bool
+	// ZoneChoice decides which requests may leave the zone. Nil lets all of them, at a
+	// constant cost. The balancer is its only user.
+	ZoneChoice *zonechoice.Chooser
 }
 
 // New returns a Balancer.
@@ -147,7 +155,7 @@
 	}
 	b := &Balancer{
 		zone: options.Zone, directory: options.Directory, hallCount: options.HallCount,
-		outliers: options.Outliers, comparesServers: options.ComparesServers,
+		outliers: options.Outliers, comparesServers: options.ComparesServers, zones: options.ZoneChoice,
 		states: make(map[string]*serverState), paced: make(map[string]bool), prompts: newPromptCache(), objects: newObjectCache(), affinity: affinity,
 	}
 	options.Directory.Subscribe(b.applyList)
@@ -167,6 +175,7 @@
 	if best.server.Cold(now) {
 		best.state.recordColdSend(now, query.Service, b.hallCount())
 	}
+	b.recordZone(query, best)
 	return &best, nil
 }
 
@@ -206,12 +215,13 @@
 	return nil
 }
 
-// selectServer returns the server with the lowest expected delay. The caller must hold
-// the mutex.
-func (b *Balancer) selectServer(now time.Time, query Query) (Choice, error) {
+// selectAmong returns the server with the lowest expected delay among those that the zone
+// rule allows. The caller must hold the mutex.
+func (b *Balancer) selectAmong(now time.Time, query Query, zones zoneRule) (Choice, error) {
 	list := b.directory.List()
 	usable := list.Usable(query.Service.Name)
 	prompt := b.prompts.estimate(now, query.Prompt, list, query.Service)
+	zones.prefer(prompt)
 	preferred, object := b.preferredServer(query, usable, prompt), b.objects.estimate(query, usable)
 	best := Choice{delay: math.MaxInt64}
 	noServer := &NoServerError{service: query.Service.Name, usable: len(usable)}
@@ -219,15 +229,23 @@
 	var limited, unlimited []Choice
 	for _, server := range usable {
 		if query.Tried[server.ID()] || !query.allowsVersion(server.Version()) {
+			zones.trace.exclude(server, "version or tried before")
+			continue
+		}
+		zoneDelay, zoneReason, allowed := zones.assess(server, list, prompt, object, preferred)
+		if !allowed {
+			zones.trace.exclude(server, "request stays in its zone")
 			continue
 		}
 		state := b.stateOf(server)
 		if server.Cold(now) && !state.allowsColdSend(now, query.Service, b.hallCount()) {
 			noServer.cold++
+			zones.trace.exclude(server, "cold and at its rate limit")
 			continue
 		}
 		candidate := Choice{
-			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred, compared),
+			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred, compared) + zoneDelay,
+			zonePlan: zones.plan, zoneReason: zoneReason,
 			preferred: server.ID() == preferred || server.ID() == object.first, listAge: list.Age(now), reads: prompt.tokens(server.ID()),
 		}
 		candidate.reason = reasonFor(server.ID(), prompt, object, preferred)
@@ -236,6 +254,7 @@
 		if query.Limit != nil {
 			candidate.limitRate, candidate.limited = query.Limit(server.ID())
 		}
+		zones.trace.consider(now, query, candidate, zoneDelay)
 		if candidate.limited {
 			limited = append(limited, candidate)
 			continue
@@ -309,9 +328,6 @@
 		delay += time.Duration(queued * float64(queueDelay) * factor)
 	}
 	delay += compared.extraDelay(&query, server.ID(), factor)
-	if server.Zone() != b.zone {
-		delay += crossZoneDelay
-	}
 	if preferred != "" && server.ID() != preferred {
 		if len(query.Prompt) == 0 && b.affinity.Contains(query.AffinityKey) {
 			delay += recomputeDelay
@@ -331,6 +347,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.prompts.generation++
+	b.retainZones(list)
 	for id, state := range b.states {
 		if _, found := list.Lookup(id); !found && state.outstanding == 0 {
 			delete(b.states, id)
