--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -254,7 +254,7 @@
 		if query.Limit != nil {
 			candidate.limitRate, candidate.limited = query.Limit(server.ID())
 		}
-		zones.trace.consider(now, query, candidate, zoneDelay)
+		zones.trace.consider(now, query, candidate, zoneDelay, compared.factor(now, server.ID(), state))
 		if candidate.limited {
 			limited = append(limited, candidate)
 			continue
--- a/hall/balance/explain.go
+++ b/hall/balance/explain.go
@@ -12,6 +12,7 @@
 	expected, queue, read time.Duration
 	zone                  time.Duration
 	excluded              string
+	slowness              float64
 }
 
 // Server returns the server.
@@ -27,6 +28,9 @@
 // ReadDelay returns the part of the expected delay for reading the prompt.
 func (c Candidate) ReadDelay() time.Duration { return c.read }
 
+// Slowness returns how long work takes at the server relative to its peers, 1 as usual.
+func (c Candidate) Slowness() float64 { return c.slowness }
+
 // ZoneDelay returns the part of the expected delay for sending the request to another zone.
 func (c Candidate) ZoneDelay() time.Duration { return c.zone }
 
@@ -87,13 +91,13 @@
 
 // consider records a server that can be chosen, unless the limit that it names does not allow
 // it.
-func (t *trace) consider(now time.Time, query Query, choice Choice, zoneDelay time.Duration) {
+func (t *trace) consider(now time.Time, query Query, choice Choice, zoneDelay time.Duration, slowness float64) {
 	if t == nil {
 		return
 	}
 	candidate := Candidate{
 		server: choice.server, expected: choice.delay, read: choice.readDelay, zone: zoneDelay,
-		queue: choice.delay - choice.readDelay - zoneDelay,
+		queue: choice.delay - choice.readDelay - zoneDelay, slowness: slowness,
 	}
 	if choice.limited {
 		if _, allowed := choice.state.limitWait(now, query.MaxWait); !allowed || query.SkipLimited {
--- a/hall/balance/zone.go
+++ b/hall/balance/zone.go
@@ -36,6 +36,7 @@
 // one may use.
 func (b *Balancer) zoneServers(now time.Time, query Query) []zonechoice.Server {
 	usable := b.directory.List().Usable(query.Service.Name)
+	compared := b.compare(query.Service.Name, usable)
 	servers := make([]zonechoice.Server, 0, len(usable))
 	for _, server := range usable {
 		if query.ExcludedVersion != "" && server.Version() == query.ExcludedVersion {
@@ -48,7 +49,7 @@
 		}
 		servers = append(servers, zonechoice.Server{
 			ID: server.ID(), Zone: server.Zone(), Slots: slotsOf(server), Requests: state.estimatedRequests(now), Pace: state.lastReport.Pace,
-			ReportAge: age, HasFailed: now.Sub(state.failedAt) < failureWindow || server.Cold(now),
+			ReportAge: age, HasFailed: now.Sub(state.failedAt) < failureWindow || server.Cold(now) || compared.avoids(server.ID(), state),
 		})
 	}
 	return servers
@@ -65,7 +66,7 @@
 	rule := b.zoneRule(now, query)
 	rule.trace = trace
 	best, err := b.selectAmong(now, query, rule)
-	if rule.all || (err == nil && now.Sub(best.state.failedAt) >= failureWindow) {
+	if rule.all || (err == nil && best.delay < failurePenalty) {
 		return best, err
 	}
 	rule.all = true
