hall/outlier: eject servers that stop responding while their answers still weigh

Two silences did not outweigh the answers of the last seconds, so that requests with a single attempt could not end early at a server that had just stopped. Answers from before a silence weigh a tenth. The hall that notices an unusual silence ranks the server last at once. Evidence of other halls is passed on only if it tells of failures; choices and watches allocate and set timers less. Tests of outlier, balance and gateway pass with -race.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -119,6 +119,7 @@
 	mutex    sync.Mutex
 	states   map[string]*serverState
 	paced    map[string]bool // Services of which a server has reported its pace.
+	scratch  []Choice        // Memory for the candidates of a choice.
 	prompts  *promptCache
 	objects  *objectCache
 	affinity *lru.Cache[string, string] // Key to ID of the server that holds its history.
@@ -216,18 +217,19 @@
 	best := Choice{delay: math.MaxInt64}
 	noServer := &NoServerError{service: query.Service.Name, usable: len(usable)}
 	compared := b.compare(query.Service.Name, usable)
-	var limited, unlimited []Choice
+	var limited []Choice
+	unlimited := b.scratch[:0]
 	for _, server := range usable {
 		if query.Tried[server.ID()] || !query.allowsVersion(server.Version()) {
 			continue
 		}
-		state := b.stateOf(server)
+		state, verdict := b.stateOf(server), compared.of(server.ID())
 		if server.Cold(now) && !state.allowsColdSend(now, query.Service, b.hallCount()) {
 			noServer.cold++
 			continue
 		}
 		candidate := Choice{
-			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred, compared),
+			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred, verdict),
 			preferred: server.ID() == preferred || server.ID() == object.first, listAge: list.Age(now), reads: prompt.tokens(server.ID()),
 		}
 		candidate.reason = reasonFor(server.ID(), prompt, object, preferred)
@@ -248,6 +250,7 @@
 		}
 	}
 	best = compared.spread(now, best, unlimited)
+	b.scratch = unlimited
 	return b.compareLimited(now, query, best, limited, noServer)
 }
 
@@ -301,14 +304,14 @@
 	return state
 }
 
-func (b *Balancer) expectedDelay(now time.Time, query Query, server backend.Server, state *serverState, preferred string, compared comparison) time.Duration {
+func (b *Balancer) expectedDelay(now time.Time, query Query, server backend.Server, state *serverState, preferred string, verdict verdict) time.Duration {
 	slots := slotsOf(server)
-	requests, factor := state.estimatedRequests(now), compared.factor(now, server.ID(), state)
+	requests, factor := state.estimatedRequests(now), verdict.factor(now, state)
 	delay := time.Duration(requests / float64(slots) * float64(utilizationDelay) * factor)
 	if queued := requests - float64(slots) + 1; queued > 0 {
 		delay += time.Duration(queued * float64(queueDelay) * factor)
 	}
-	delay += compared.extraDelay(&query, server.ID(), factor)
+	delay += verdict.extraDelay(&query, factor)
 	if server.Zone() != b.zone {
 		delay += crossZoneDelay
 	}
@@ -319,7 +322,7 @@
 			delay += hashMismatchDelay
 		}
 	}
-	if now.Sub(state.failedAt) < failureWindow || compared.avoids(server.ID(), state) {
+	if now.Sub(state.failedAt) < failureWindow || verdict.avoids(state) {
 		delay += failurePenalty
 	}
 	return delay
--- a/hall/balance/compare.go
+++ b/hall/balance/compare.go
@@ -57,27 +57,36 @@
 	return comparison{active: true, assessment: b.outliers.Assess(service, usable)}
 }
 
+// verdict is what is known of one server. The zero value belongs to one that is not compared.
+type verdict struct {
+	active bool
+	known  outlier.Verdict
+}
+
+func (c comparison) of(serverID string) verdict {
+	return verdict{active: c.active, known: c.assessment.Of(serverID)}
+}
+
 // factor returns how long work takes at the server, relative to a usual one.
-func (c comparison) factor(now time.Time, serverID string, state *serverState) float64 {
-	if !c.active {
+func (v verdict) factor(now time.Time, state *serverState) float64 {
+	if !v.active {
 		return 1
 	}
-	return c.assessment.Of(serverID).Slowness() * state.pace(now)
+	return v.known.Slowness() * state.pace(now)
 }
 
 // extraDelay returns what the request is expected to take longer at the server than at a
 // usual one, without queue and utilization. It is negative at a faster server.
-func (c comparison) extraDelay(query *Query, serverID string, factor float64) time.Duration {
-	if !c.active {
+func (v verdict) extraDelay(query *Query, factor float64) time.Duration {
+	if !v.active {
 		return 0
 	}
-	rate := c.assessment.Of(serverID).FailureRate()
-	return time.Duration((factor-1)*float64(query.Work) + rate*float64(repeatDelay))
+	return time.Duration((factor-1)*float64(query.Work) + v.known.FailureRate()*float64(repeatDelay))
 }
 
 // avoids reports whether the server receives a request only as a last resort.
-func (c comparison) avoids(serverID string, state *serverState) bool {
-	return c.active && !c.assessment.Of(serverID).Allows(state.outstanding)
+func (v verdict) avoids(state *serverState) bool {
+	return v.active && !v.known.Allows(state.outstanding)
 }
 
 // spread returns one of the candidates whose expected delay is about that of the best. It
@@ -87,30 +96,29 @@
 	if !c.active || best.state == nil || best.preferred || best.reason == ReasonHistory || best.reason == ReasonObject {
 		return best
 	}
-	near, weights, total := make([]Choice, 0, len(candidates)), make([]float64, 0, len(candidates)), 0.0
-	for _, candidate := range candidates {
+	first, second, total := -1, -1, 0.0
+	for index := range candidates {
+		candidate := &candidates[index]
 		if candidate.delay > best.delay+spreadWindow {
 			continue
 		}
 		weight := max(minWeight, float64(slotsOf(candidate.server))-candidate.state.estimatedRequests(now))
-		near, weights, total = append(near, candidate), append(weights, weight), total+weight
-	}
-	first, second := draw(near, weights, total), draw(near, weights, total)
-	if second.delay < first.delay {
-		return second
-	}
-	return first
-}
-
-// draw returns a random candidate. The probability of each is its weight of the total.
-func draw(candidates []Choice, weights []float64, total float64) Choice {
-	position := rand.Float64() * total
-	for index, weight := range weights {
-		if position -= weight; position < 0 {
-			return candidates[index]
+		total += weight
+		if rand.Float64()*total < weight {
+			first = index
+		}
+		if rand.Float64()*total < weight {
+			second = index
 		}
 	}
-	return candidates[len(candidates)-1]
+	switch {
+	case first < 0 || second < 0:
+		return best
+	case candidates[second].delay < candidates[first].delay:
+		return candidates[second]
+	default:
+		return candidates[first]
+	}
 }
 
 // pace returns how long work takes at the server by its last report, relative to the server's
--- a/hall/gateway/silence.go
+++ b/hall/gateway/silence.go
@@ -87,6 +87,7 @@
 
 	mutex    sync.Mutex
 	timer    *time.Timer // Nil until the watch waits for the first time.
+	firesAt  time.Time   // Zero if the timer does not run.
 	begun    bool        // Whether part of the response body has arrived.
 	waiting  bool
 	deadline time.Time
@@ -119,11 +120,20 @@
 		return
 	}
 	w.waiting, w.deadline, w.limit = true, start.Add(limit), limit
+	if w.firesAt.IsZero() || w.deadline.Before(w.firesAt) {
+		w.schedule(w.deadline)
+	}
+}
+
+// schedule has check called at the given time. Setting the timer for each read costs more than
+// a call now and then that finds nothing to do.
+func (w *silenceWatch) schedule(at time.Time) {
+	w.firesAt = at
 	if w.timer == nil {
-		w.timer = time.AfterFunc(time.Until(w.deadline), w.check)
+		w.timer = time.AfterFunc(time.Until(at), w.check)
 		return
 	}
-	w.timer.Reset(time.Until(w.deadline))
+	w.timer.Reset(time.Until(at))
 }
 
 // pause ends measuring until the next wait.
@@ -131,9 +141,6 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.waiting = false
-	if w.timer != nil {
-		w.timer.Stop()
-	}
 }
 
 // markBegun records that the response has begun, from where the limit between events holds.
@@ -159,15 +166,26 @@
 
 // stop ends the watch at the end of the exchange, which must be closed already.
 func (w *silenceWatch) stop() {
-	w.pause()
+	w.mutex.Lock()
+	w.waiting, w.ended = false, true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.mutex.Unlock()
 	w.cancel(nil)
 }
 
-// check is called when the time is up. The timer may have been stopped or reset since.
+// check is called by the timer. The hall may have stopped to wait since, or wait for another
+// deadline.
 func (w *silenceWatch) check() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if !w.waiting || time.Now().Before(w.deadline) {
+	w.firesAt = time.Time{}
+	if !w.waiting {
+		return
+	}
+	if time.Now().Before(w.deadline) {
+		w.schedule(w.deadline)
 		return
 	}
 	h, server := w.exchange.handler, w.exchange.choice.Server().ID()
@@ -177,14 +195,18 @@
 		w.expired = true
 		w.exchange.record(outlier.Observation{Result: outlier.Silent})
 	}
-	plan := planSilence(w.repeatable, w.attemptLeft, detector.IsSilenceUnusual(h.service.Name, server), detector.IsEjected(h.service.Name, server))
+	unusual := detector.IsSilenceUnusual(h.service.Name, server)
+	if first && unusual {
+		w.exchange.choice.ReportFailure(time.Now())
+	}
+	plan := planSilence(w.repeatable, w.attemptLeft, unusual, detector.IsEjected(h.service.Name, server))
 	if first || plan != silenceWaits {
 		h.gateway.options.Meters.recordSilence(plan)
 		h.gateway.options.Logger.Info("backend server is silent", zap.String("requestId", h.request.ID), zap.String("server", server),
 			zap.Duration("limit", w.limit), zap.Bool("begun", w.begun), zap.Bool("attemptLeft", w.attemptLeft), zap.String("request", string(plan)))
 	}
 	if plan == silenceWaits {
-		w.timer.Reset(silenceInterval)
+		w.schedule(time.Now().Add(silenceInterval))
 		return
 	}
 	w.waiting, w.silent = false, &silenceError{server: server, limit: w.limit}
--- a/hall/outlier/evidence.go
+++ b/hall/outlier/evidence.go
@@ -85,7 +85,10 @@
 }
 
 // baselines are the usual times of a service by route.
-type baselines struct{ byRoute map[string]*baseline }
+type baselines struct{ byRoute map[string]*routeBaselines }
+
+// routeBaselines are the usual times of a route.
+type routeBaselines struct{ work, perToken baseline }
 
 type baseline struct {
 	logTime   float64
@@ -93,23 +96,37 @@
 	count     int
 }
 
-func newBaselines() *baselines { return &baselines{byRoute: make(map[string]*baseline)} }
+func newBaselines() *baselines { return &baselines{byRoute: make(map[string]*routeBaselines)} }
 
-// ratio returns the measured time relative to the usual one of the route, and adds it to that.
-func (b *baselines) ratio(route string, measured time.Duration) float64 {
+// of returns the usual times of a route, nil if there are too many routes.
+func (b *baselines) of(route string) *routeBaselines {
 	known := b.byRoute[route]
-	logTime := math.Log(float64(measured))
-	if known == nil {
-		if len(b.byRoute) >= maxBaselines {
-			return 1
-		}
-		known = &baseline{logTime: logTime}
+	if known == nil && len(b.byRoute) < maxBaselines {
+		known = &routeBaselines{}
 		b.byRoute[route] = known
 	}
-	ratio := min(maxRatio, max(1.0/maxRatio, math.Exp(logTime-known.logTime)))
-	known.count++
-	gain := max(baselineGain, 1/float64(known.count))
-	known.logTime += gain * math.Log(ratio)
-	known.deviation += gain * (math.Abs(math.Log(ratio)) - known.deviation)
+	return known
+}
+
+// ratio returns the measured time relative to the usual one, and adds it to that.
+func (b *baseline) ratio(measured time.Duration) float64 {
+	logTime := math.Log(float64(measured))
+	if b.count == 0 {
+		b.logTime = logTime
+	}
+	ratio := min(maxRatio, max(1.0/maxRatio, math.Exp(logTime-b.logTime)))
+	b.count++
+	gain := max(baselineGain, 1/float64(b.count))
+	b.logTime += gain * math.Log(ratio)
+	b.deviation += gain * (math.Abs(math.Log(ratio)) - b.deviation)
 	return ratio
 }
+
+// usual returns the time that is the given number of deviations above the usual one, zero
+// if too little was measured.
+func (b *baseline) usual(deviations float64) time.Duration {
+	if b.count < minMeasurements {
+		return 0
+	}
+	return time.Duration(math.Exp(b.logTime + deviations*b.deviation))
+}
--- a/hall/outlier/exchange.go
+++ b/hall/outlier/exchange.go
@@ -1,7 +1,6 @@
 package outlier
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -21,6 +20,8 @@
 	// maxFailuresOfHall bounds the weight of the failures that one other hall observed, so
 	// that they alone eject no server: the link of that hall may be their cause.
 	maxFailuresOfHall = 1
+	// newSilence is the least growth of the weight of silences that shows a new one.
+	newSilence = 0.5
 	// minSharedFailures is the least evidence of failures, weighted by age, that is shared
 	// before evidence of answers.
 	minSharedFailures = 0.5
@@ -39,10 +40,12 @@
 func (s *sharedEvidence) news(now time.Time) evidence {
 	known, forgotten := s.evidence, s.forgotten
 	known.decay(now)
-	forgotten.decay(now)
-	known.answers = max(0, known.answers-forgotten.answers)
-	known.failures = max(0, known.failures-forgotten.failures)
-	known.silences = max(0, known.silences-forgotten.silences)
+	if !forgotten.at.IsZero() {
+		forgotten.decay(now)
+		known.answers = max(0, known.answers-forgotten.answers)
+		known.failures = max(0, known.failures-forgotten.failures)
+		known.silences = max(0, known.silences-forgotten.silences)
+	}
 	if bad := known.bad(); bad > maxFailuresOfHall {
 		scale := maxFailuresOfHall / bad
 		known.answers, known.failures, known.silences = known.answers*scale, known.failures*scale, known.silences*scale
@@ -50,41 +53,57 @@
 	return known
 }
 
-// Summary returns the newest evidence of this hall.
+// news is evidence that may be told to another hall.
+type news struct {
+	evidence              evidence
+	hall, service, server string
+	sequence              uint64
+}
+
+// hasFailures reports whether the evidence is mostly of use for ejections.
+func (n *news) hasFailures() bool { return n.evidence.bad() >= minSharedFailures }
+
+// Summary returns the newest evidence of this hall. Evidence of other halls is passed on if it
+// tells of failures, which must be known everywhere soon.
 func (d *Detector) Summary() *wire.ObservationSummary {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.now()
-	summary := &wire.ObservationSummary{Hall: d.ownName}
+	var all []news
 	for name, service := range d.services {
 		for id, known := range service.servers {
 			if known.sequence > 0 && now.Sub(known.own.at) < maxEvidenceAge {
-				summary.Servers = append(summary.Servers, known.own.toWire(now, d.ownName, name, id, known.sequence))
+				all = append(all, news{evidence: known.own, hall: d.ownName, service: name, server: id, sequence: known.sequence})
 			}
 			for hall, other := range known.others {
-				if now.Sub(other.evidence.at) < maxEvidenceAge {
-					summary.Servers = append(summary.Servers, other.evidence.toWire(now, hall, name, id, other.sequence))
+				told := news{evidence: other.evidence, hall: hall, service: name, server: id, sequence: other.sequence}
+				if now.Sub(other.evidence.at) < maxEvidenceAge && told.hasFailures() {
+					all = append(all, told)
 				}
 			}
 		}
 	}
-	if len(summary.Servers) > maxShared {
-		slices.SortFunc(summary.Servers, compareNews)
-		summary.Servers = summary.Servers[:maxShared]
+	if len(all) > maxShared {
+		slices.SortFunc(all, compareNews)
+		all = all[:maxShared]
+	}
+	summary := &wire.ObservationSummary{Hall: d.ownName, Servers: make([]*wire.ServerObservation, 0, len(all))}
+	for index := range all {
+		summary.Servers = append(summary.Servers, all[index].toWire(now))
 	}
 	return summary
 }
 
 // compareNews orders evidence by its use to other halls: that of failures first, as few of
-// them decide on an ejection, then by age.
-func compareNews(a, b *wire.ServerObservation) int {
-	hasFailures := func(observed *wire.ServerObservation) int {
-		if observed.GetFailures()+observed.GetSilences() >= minSharedFailures {
-			return 1
+// them decide on an ejection, then the newest.
+func compareNews(a, b news) int {
+	if a.hasFailures() != b.hasFailures() {
+		if a.hasFailures() {
+			return -1
 		}
-		return 0
+		return 1
 	}
-	return cmp.Or(cmp.Compare(hasFailures(b), hasFailures(a)), cmp.Compare(a.GetAgeMilliseconds(), b.GetAgeMilliseconds()))
+	return b.evidence.at.Compare(a.evidence.at)
 }
 
 // Exchange adds the evidence of another hall and returns that of this one.
@@ -117,15 +136,19 @@
 		if (found && last.sequence >= observed.GetSequence()) || (!found && !at.After(known.ejectedAt)) || (!found && len(known.others) >= maxHalls) {
 			continue
 		}
-		known.others[observed.GetHall()] = sharedEvidence{evidence: fromWire(observed, at), forgotten: last.forgotten, sequence: observed.GetSequence()}
+		received := sharedEvidence{evidence: fromWire(observed, at), forgotten: last.forgotten, sequence: observed.GetSequence()}
+		if last.evidence.decay(at); received.evidence.silences > last.evidence.silences+newSilence && at.After(known.silentAt) {
+			known.silentAt = at
+		}
+		known.others[observed.GetHall()] = received
 	}
 }
 
-func (e evidence) toWire(now time.Time, hall, service, server string, sequence uint64) *wire.ServerObservation {
-	age := now.Sub(e.at)
+func (n *news) toWire(now time.Time) *wire.ServerObservation {
+	known := n.evidence
 	return &wire.ServerObservation{
-		Hall: hall, Service: service, Server: server, Sequence: sequence, AgeMilliseconds: age.Milliseconds(),
-		Answers: e.answers, Failures: e.failures, Silences: e.silences, Slowness: e.logSlowness, SlownessWeight: e.speedWeight,
+		Hall: n.hall, Service: n.service, Server: n.server, Sequence: n.sequence, AgeMilliseconds: now.Sub(known.at).Milliseconds(),
+		Answers: known.answers, Failures: known.failures, Silences: known.silences, Slowness: known.logSlowness, SlownessWeight: known.speedWeight,
 	}
 }
 
--- a/hall/outlier/outlier.go
+++ b/hall/outlier/outlier.go
@@ -45,6 +45,9 @@
 	// firstEjection and maxEjection bound the time of an ejection, which doubles.
 	firstEjection = time.Second
 	maxEjection   = 8 * time.Second
+	// staleAnswers is the weight of answers from before a silence. A server that stops
+	// responding has answered until then, and should not be tried until that is outweighed.
+	staleAnswers = 0.1
 	// minReturnFailures is the least evidence of failures, weighted by age, that ejects a
 	// returning server again: a single one that is not yet old.
 	minReturnFailures = 0.5
@@ -163,6 +166,7 @@
 	ejections    int // In a row.
 	ejected      bool
 	returning    bool
+	silentAt     time.Time // When a request without a response was last noticed.
 }
 
 // New returns a Detector without evidence. ownName is the name of this hall.
@@ -189,11 +193,16 @@
 	if observation.Result == Answered || !server.ejected {
 		server.own.count(observation.Result)
 	}
-	if observation.Work > 0 {
-		server.own.addSpeed(service.baselines.ratio(observation.Route, observation.Work))
+	if observation.Result == Silent {
+		server.own.answers *= staleAnswers
+		server.silentAt = now
 	}
-	if observation.PerToken > 0 {
-		server.own.addSpeed(service.baselines.ratio(perTokenOf(observation.Route), observation.PerToken))
+	usual := service.baselines.of(observation.Route)
+	if usual != nil && observation.Work > 0 {
+		server.own.addSpeed(usual.work.ratio(observation.Work))
+	}
+	if usual != nil && observation.PerToken > 0 {
+		server.own.addSpeed(usual.perToken.ratio(observation.PerToken))
 	}
 	d.sequence++
 	server.sequence = d.sequence
@@ -390,12 +399,19 @@
 func (r *record) total(now time.Time) evidence {
 	total := r.own
 	total.decay(now)
+	if r.own.at.Before(r.silentAt) {
+		total.answers *= staleAnswers
+	}
 	for hall, other := range r.others {
 		if now.Sub(other.evidence.at) > maxEvidenceAge && now.Sub(other.forgotten.at) > maxEvidenceAge {
 			delete(r.others, hall)
 			continue
 		}
-		total.add(other.news(now))
+		news := other.news(now)
+		if other.evidence.at.Before(r.silentAt) {
+			news.answers *= staleAnswers
+		}
+		total.add(news)
 	}
 	return total
 }
--- a/hall/outlier/outlier_test.go
+++ b/hall/outlier/outlier_test.go
@@ -287,3 +287,46 @@
 		t.Errorf("ejections at the hall with the broken link: got %d, want at least 3", got)
 	}
 }
+
+// TestServerStopsResponding checks that a server which all halls know to have answered until
+// now is ejected once two halls miss a response, and that one which goes on answering is not.
+func TestServerStopsResponding(t *testing.T) {
+	for _, answersGoOn := range []bool{false, true} {
+		c := newClock()
+		servers := newServers(10)
+		halls := []*outlier.Detector{newDetector("x", c), newDetector("y", c), newDetector("z", c)}
+		answer := func(hall *outlier.Detector) { observe(hall, servers, failing(outlier.Answered)) }
+		exchange := func() {
+			for index, hall := range halls {
+				next := halls[(index+1)%len(halls)]
+				hall.Merge(next.Exchange(hall.Summary()))
+			}
+		}
+		for range 15 {
+			for _, hall := range halls {
+				answer(hall)
+			}
+			c.pass(100 * time.Millisecond)
+		}
+		exchange()
+		c.pass(400 * time.Millisecond)
+		for _, hall := range halls[:2] {
+			hall.Record(outlier.Observation{Service: "models", Server: "3", Result: outlier.Silent})
+		}
+		if answersGoOn {
+			c.pass(10 * time.Millisecond)
+			answer(halls[2])
+		}
+		exchange()
+		c.pass(150 * time.Millisecond)
+		want := "3 "
+		if answersGoOn {
+			want = ""
+		}
+		for index, hall := range halls {
+			if got := ejected(hall, servers); got != want {
+				t.Errorf("ejected servers at hall %d, answers go on %t: got %q, want %q", index, answersGoOn, got, want)
+			}
+		}
+	}
+}
--- a/hall/outlier/usual.go
+++ b/hall/outlier/usual.go
@@ -1,9 +1,6 @@
 package outlier
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// minMeasurements is how many measurements make the usual time of a route known.
@@ -37,19 +34,13 @@
 	if service == nil {
 		return Usual{}
 	}
-	usual := Usual{}
-	if known := service.baselines.byRoute[route]; known != nil && known.count >= minMeasurements {
-		usual.upper = time.Duration(math.Exp(known.logTime + upperDeviations*known.deviation))
-	}
-	if known := service.baselines.byRoute[perTokenOf(route)]; known != nil && known.count >= minMeasurements {
-		usual.perToken = time.Duration(math.Exp(known.logTime))
+	known := service.baselines.byRoute[route]
+	if known == nil {
+		return Usual{}
 	}
-	return usual
+	return Usual{upper: known.work.usual(upperDeviations), perToken: known.perToken.usual(0)}
 }
 
-// perTokenOf returns the key of the baseline of the time per token.
-func perTokenOf(route string) string { return route + " per token" }
-
 // IsSilenceUnusual reports whether the other servers of the service answered nearly all
 // requests at the last assessment.
 func (d *Detector) IsSilenceUnusual(serviceName, serverID string) bool {
