--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -124,6 +124,7 @@
 	mutex    sync.Mutex
 	states   map[string]*serverState
 	paced    map[string]bool // Services of which a server has reported its pace.
+	scratch  []Choice        // Memory for the candidates of a choice.
 	prompts  *promptCache
 	objects  *objectCache
 	affinity *lru.Cache[string, string] // Key to ID of the server that holds its history.
@@ -226,7 +227,8 @@
 	best := Choice{delay: math.MaxInt64}
 	noServer := &NoServerError{service: query.Service.Name, usable: len(usable)}
 	compared := b.compare(query.Service.Name, usable)
-	var limited, unlimited []Choice
+	var limited []Choice
+	unlimited := b.scratch[:0]
 	for _, server := range usable {
 		if query.Tried[server.ID()] || !query.allowsVersion(server.Version()) {
 			zones.trace.exclude(server, "version or tried before")
@@ -237,14 +239,14 @@
 			zones.trace.exclude(server, "request stays in its zone")
 			continue
 		}
-		state := b.stateOf(server)
+		state, verdict := b.stateOf(server), compared.of(server.ID())
 		if server.Cold(now) && !state.allowsColdSend(now, query.Service, b.hallCount()) {
 			noServer.cold++
 			zones.trace.exclude(server, "cold and at its rate limit")
 			continue
 		}
 		candidate := Choice{
-			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred, compared) + zoneDelay,
+			balancer: b, server: server, state: state, delay: b.expectedDelay(now, query, server, state, preferred, verdict) + zoneDelay,
 			zonePlan: zones.plan, zoneReason: zoneReason,
 			preferred: server.ID() == preferred || server.ID() == object.first, listAge: list.Age(now), reads: prompt.tokens(server.ID()),
 		}
@@ -254,7 +256,7 @@
 		if query.Limit != nil {
 			candidate.limitRate, candidate.limited = query.Limit(server.ID())
 		}
-		zones.trace.consider(now, query, candidate, zoneDelay, compared.factor(now, server.ID(), state))
+		zones.trace.consider(now, query, candidate, zoneDelay, verdict.factor(now, state))
 		if candidate.limited {
 			limited = append(limited, candidate)
 			continue
@@ -267,6 +269,7 @@
 		}
 	}
 	best = compared.spread(now, best, unlimited)
+	b.scratch = unlimited
 	return b.compareLimited(now, query, best, limited, noServer)
 }
 
@@ -320,14 +323,14 @@
 	return state
 }
 
-func (b *Balancer) expectedDelay(now time.Time, query Query, server backend.Server, state *serverState, preferred string, compared comparison) time.Duration {
+func (b *Balancer) expectedDelay(now time.Time, query Query, server backend.Server, state *serverState, preferred string, verdict verdict) time.Duration {
 	slots := slotsOf(server)
-	requests, factor := state.estimatedRequests(now), compared.factor(now, server.ID(), state)
+	requests, factor := state.estimatedRequests(now), verdict.factor(now, state)
 	delay := time.Duration(requests / float64(slots) * float64(utilizationDelay) * factor)
 	if queued := requests - float64(slots) + 1; queued > 0 {
 		delay += time.Duration(queued * float64(queueDelay) * factor)
 	}
-	delay += compared.extraDelay(&query, server.ID(), factor)
+	delay += verdict.extraDelay(&query, factor)
 	if preferred != "" && server.ID() != preferred {
 		if len(query.Prompt) == 0 && b.affinity.Contains(query.AffinityKey) {
 			delay += recomputeDelay
@@ -335,7 +338,7 @@
 			delay += hashMismatchDelay
 		}
 	}
-	if now.Sub(state.failedAt) < failureWindow || compared.avoids(server.ID(), state) {
+	if now.Sub(state.failedAt) < failureWindow || verdict.avoids(state) {
 		delay += failurePenalty
 	}
 	return delay
--- a/hall/balance/zone.go
+++ b/hall/balance/zone.go
@@ -49,7 +49,7 @@
 		}
 		servers = append(servers, zonechoice.Server{
 			ID: server.ID(), Zone: server.Zone(), Slots: slotsOf(server), Requests: state.estimatedRequests(now), Pace: state.lastReport.Pace,
-			ReportAge: age, HasFailed: now.Sub(state.failedAt) < failureWindow || server.Cold(now) || compared.avoids(server.ID(), state),
+			ReportAge: age, HasFailed: now.Sub(state.failedAt) < failureWindow || server.Cold(now) || compared.of(server.ID()).avoids(state),
 		})
 	}
 	return servers
