hall/balance: weight the queue by the work where servers are compared

The extra time at a slow server grew with the work and the wait in a queue did not: of a burst of 120 long responses none went to two idle servers at half speed, all queued at the six others. A queued request now costs at least work / slots, and 8 to 24 of them go to the slow ones (TestHalfSpeed). Package tests pass with -race.

--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -309,7 +309,7 @@
 	requests, factor := state.estimatedRequests(now), verdict.factor(now, state)
 	delay := time.Duration(requests / float64(slots) * float64(utilizationDelay) * factor)
 	if queued := requests - float64(slots) + 1; queued > 0 {
-		delay += time.Duration(queued * float64(queueDelay) * factor)
+		delay += time.Duration(queued * float64(verdict.queueDelay(&query, slots)) * factor)
 	}
 	delay += verdict.extraDelay(&query, factor)
 	if server.Zone() != b.zone {
--- a/hall/balance/compare.go
+++ b/hall/balance/compare.go
@@ -84,6 +84,16 @@
 	return time.Duration((factor-1)*float64(query.Work) + v.known.FailureRate()*float64(repeatDelay))
 }
 
+// queueDelay returns the waiting time for each request beyond the slots of a usual server. It
+// grows with the work, as extraDelay does: otherwise requests queued at the fast servers while
+// slow ones were idle.
+func (v verdict) queueDelay(query *Query, slots int) time.Duration {
+	if !v.active {
+		return queueDelay
+	}
+	return max(queueDelay, query.Work/time.Duration(slots))
+}
+
 // avoids reports whether the server receives a request only as a last resort.
 func (v verdict) avoids(state *serverState) bool {
 	return v.active && !v.known.Allows(state.outstanding)
--- a/hall/balance/compare_test.go
+++ b/hall/balance/compare_test.go
@@ -156,6 +156,38 @@
 	}
 }
 
+// TestHalfSpeed checks that a quarter of the servers, which run at half speed, get no request
+// while the others have free slots, and their part of a burst that would take longer at the queue
+// of the others.
+func TestHalfSpeed(t *testing.T) {
+	b, detector := newComparing(8, true)
+	for range 30 {
+		for index := range 8 {
+			work := 40 * time.Millisecond
+			if index < 2 {
+				work *= 2
+			}
+			detector.Record(outlier.Observation{Service: "models", Server: fmt.Sprint(index), Work: work})
+		}
+	}
+	slow := 0
+	for request := range 120 {
+		choice, err := b.Choose(time.Now(), balance.Query{Service: modelService, Work: 400 * time.Millisecond})
+		if err != nil {
+			t.Fatalf("choose: %v", err)
+		}
+		if id := choice.Server().ID(); id == "0" || id == "1" {
+			slow++
+		}
+		if request < 48 && slow > 0 {
+			t.Fatalf("requests to slow servers after %d requests to 6 fast servers with 8 slots: got %d, want 0", request, slow)
+		}
+	}
+	if slow < 8 || slow > 24 {
+		t.Errorf("requests of a burst to the 2 slow servers: got %d of 120, want 8 to 24", slow)
+	}
+}
+
 // TestSlowForAMoment checks that servers on whose machines work takes 2.5 times as long get no
 // request while the report is new, and some once it says little: the slow ones change every
 // 600 ms.
