--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -133,6 +133,7 @@
 // already buffered are flushed together.
 func (h *requestHandler) relayEvents(response *serverResponse, progress *streamProgress) error {
 	reader := eventstream.New(response.Body, h.account)
+	defer reader.Close()
 	flusher := http.NewResponseController(h.writer)
 	for {
 		event, err := reader.Next()
