hall/outlier: small differences of speed don't count

Halls followed differences of a few percent, which come from the queue, prompts and batch of the moment, with evidence some seconds old. Speeds are now measured by the time for each token where there is one, and count from a difference of a third on.

TestSmallDifferencesOfSpeed fails before.

--- a/hall/outlier/evidence.go
+++ b/hall/outlier/evidence.go
@@ -12,6 +12,10 @@
 	speedLifetime = 10 * time.Second
 	// priorAnswers is the weight of the assumption that a server answers.
 	priorAnswers = 1
+	// usualDeviation is the logarithm of how much slower or faster than its peers a server may
+	// be and still counts like them. Twice as much counts in full. Its requests and their prompts change its speed by as
+	// much: halls that followed such differences sent twice the mean load to some servers.
+	usualDeviation = 0.3
 	// priorSpeed is the weight of the assumption that a server is as fast as its peers.
 	priorSpeed = 2
 	// maxRatio bounds the effect of a single measurement.
@@ -81,7 +85,9 @@
 // slowness returns the time that work takes relative to the median of the peers, whose logRatio
 // is usual.
 func (e *evidence) slowness(usual float64) float64 {
-	return math.Exp((e.logSlowness - usual*e.speedWeight) / (e.speedWeight + priorSpeed))
+	deviation := (e.logSlowness - usual*e.speedWeight) / (e.speedWeight + priorSpeed)
+	size := math.Abs(deviation)
+	return math.Exp(math.Copysign(min(size, max(0, size-usualDeviation)*2), deviation))
 }
 
 // baselines are the usual times of a service by route.
@@ -130,3 +136,19 @@
 	}
 	return time.Duration(math.Exp(b.logTime + deviations*b.deviation))
 }
+
+// measure adds the times of an observation to the usual ones, and the server's speed to its
+// evidence.
+func (b *routeBaselines) measure(observation Observation, server *evidence) {
+	ratio := 0.0
+	if observation.Work > 0 {
+		ratio = b.work.ratio(observation.Work)
+	}
+	if observation.PerToken > 0 {
+		// The time to the first event depends on the queue and on prompts of other requests.
+		ratio = b.perToken.ratio(observation.PerToken)
+	}
+	if ratio > 0 {
+		server.addSpeed(ratio)
+	}
+}
--- a/hall/outlier/outlier.go
+++ b/hall/outlier/outlier.go
@@ -198,11 +198,8 @@
 		server.silentAt = now
 	}
 	usual := service.baselines.of(observation.Route)
-	if usual != nil && observation.Work > 0 {
-		server.own.addSpeed(usual.work.ratio(observation.Work))
-	}
-	if usual != nil && observation.PerToken > 0 {
-		server.own.addSpeed(usual.perToken.ratio(observation.PerToken))
+	if usual != nil {
+		usual.measure(observation, &server.own)
 	}
 	d.sequence++
 	server.sequence = d.sequence
--- a/hall/outlier/outlier_test.go
+++ b/hall/outlier/outlier_test.go
@@ -336,3 +336,26 @@
 		}
 	}
 }
+
+// TestSmallDifferencesOfSpeed guards against halls that follow small differences of speed, which
+// come from the requests of the moment: they sent twice the mean load to some of 50 equal servers.
+func TestSmallDifferencesOfSpeed(t *testing.T) {
+	c := newClock()
+	d, servers := newDetector("hall", c), newServers(12)
+	for round := range 20 {
+		for index, server := range servers {
+			perToken := time.Millisecond
+			if (index+round)%3 == 0 && index < 6 {
+				perToken = 1300 * time.Microsecond
+			}
+			d.Record(outlier.Observation{Service: "models", Server: server.ID(), Route: "chat", Work: time.Duration(1+index) * 10 * time.Millisecond, PerToken: perToken})
+		}
+		c.pass(100 * time.Millisecond)
+	}
+	assessment := d.Assess("models", servers)
+	for index, server := range servers {
+		if got := assessment.Of(server.ID()).Slowness(); got != 1 {
+			t.Errorf("slowness of server %d: got %.2f, want 1", index, got)
+		}
+	}
+}
