hall/rollout: grant requests to the target version and follow the order

Cause: nothing in the code supports roll-outs. Change: the owner of a roll-out merges the reports of all halls, grants requests within the bound, and writes the final state by compare-and-swap. Select and Allowed apply orders, records and grants.

--- a/hall/rollout/rollout.go
+++ b/hall/rollout/rollout.go
@@ -19,10 +19,14 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"limpethall.dev/hall/rollout/plan"
 	"limpethall.dev/kernel/backend"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/platform"
@@ -68,6 +72,18 @@
 	RolledBack
 )
 
+// String implements fmt.Stringer.
+func (s State) String() string {
+	switch s {
+	case Done:
+		return "done"
+	case RolledBack:
+		return "rolledBack"
+	default:
+		return "running"
+	}
+}
+
 // Bounds limit what a bad version may receive.
 type Bounds struct {
 	// ExposureShare is the portion of all requests to the service between the order and its
@@ -100,6 +116,7 @@
 type Selection struct {
 	only     *string
 	excluded string
+	servers  []string
 }
 
 // Only returns the single version to use, nil for no restriction.
@@ -108,6 +125,10 @@
 // Excluded returns the version whose servers must not be used, empty for none.
 func (s Selection) Excluded() string { return s.excluded }
 
+// Servers returns the IDs of the servers of the only version to prefer, empty for all. During
+// the observation a few servers carry the load that each will carry later.
+func (s Selection) Servers() []string { return s.servers }
+
 // Outcome is the result of one request at a server.
 type Outcome struct {
 	Service string
@@ -118,7 +139,9 @@
 	Failed bool
 	// Cold is set if the server was still warming up.
 	Cold bool
-	// FirstByte is the time from the send to the first byte of the response.
+	// FirstByte is the time from the send to the first byte of the response, less the time
+	// that the server is expected to need for a prompt that it has to read: servers of a new
+	// version have no prompts cached. It is ignored if Failed is set.
 	FirstByte time.Duration
 }
 
@@ -134,40 +157,110 @@
 
 // Rollouts holds the roll-outs of a deployment. It is safe for concurrent use.
 type Rollouts struct {
-	options Options
-}
+	options     Options
+	incarnation uint64
+	subscribers []func(service, version string, state State)
 
-// New returns Rollouts without orders.
-func New(options Options) *Rollouts { return &Rollouts{options: options} }
+	mutex        sync.Mutex
+	ordersKnown  bool
+	recordsKnown bool
+	rollouts     map[string]*rollout         // By service, of the orders in force.
+	records      map[string]record           // By service.
+	withdrawn    map[string]time.Time        // By service, since when a running record has no order.
+	open         map[string]map[string]int64 // By service and version.
+	directories  map[string]versionCounts    // By service.
+	failures     map[string]contact          // By hall, while it does not answer.
+	halls        []host.Member               // As of the last Tick.
+	live         map[string]bool             // The names of halls.
+}
 
-// SetOrders sets all orders in force.
-func (r *Rollouts) SetOrders([]Order) {}
+// rollout is what a hall knows of an order in force.
+type rollout struct {
+	order    Order
+	started  time.Time
+	previous string // The target version of the order that this one replaced, if that was not done.
+	told     State  // What an owner said, which may not be in the key-value service yet.
+	requests int64
+	exposed  int64
+	samples  map[plan.Key]*sample
+	grant    grant
+	share    float64 // The last one that an owner named.
+	reason   string
 
-// Follow follows the final states in the key-value service until the context ends.
-func (r *Rollouts) Follow(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	candidates []host.Member   // The halls that may own it, as of the last Tick.
+	live       map[string]bool // All live halls, as of the last Tick.
+	ledger     *ledger
+	writing    bool
+	writtenAt  time.Time // Of the last attempt.
 }
 
-// Tick reports to the owners, and decides about the roll-outs that this hall owns.
-func (r *Rollouts) Tick(context.Context) {}
-
-// Report processes the report of another hall.
-func (r *Rollouts) Report(*wire.RolloutReport) *wire.RolloutGrant { return &wire.RolloutGrant{} }
+// sample counts the answers of one server on one route at this hall.
+type sample struct {
+	counts  plan.Counts
+	changed bool // Since the last report.
+}
 
-// Select returns which versions may be used for one request. key is equal for requests that
-// should go to the same version. A selection of the target version takes from the grant.
-func (r *Rollouts) Select(_, _ string) Selection { return Selection{} }
+// New returns Rollouts without orders.
+func New(options Options) *Rollouts {
+	return &Rollouts{
+		options: options, incarnation: uint64(options.Now().UnixNano()),
+		rollouts: make(map[string]*rollout), records: make(map[string]record), withdrawn: make(map[string]time.Time),
+		open: make(map[string]map[string]int64), directories: make(map[string]versionCounts), failures: make(map[string]contact),
+	}
+}
 
-// Opened records a request that is open at a server until closed is called.
-func (r *Rollouts) Opened(_, _ string) (closed func()) { return func() {} }
+// SetOrders sets all orders in force. An order with another revision starts anew.
+func (r *Rollouts) SetOrders(orders []Order) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.ordersKnown = true
+	next := make(map[string]*rollout, len(orders))
+	for _, order := range orders {
+		before := r.rollouts[order.service]
+		if before != nil && before.order == order {
+			next[order.service] = before
+			continue
+		}
+		added := &rollout{order: order, started: r.options.Now(), samples: make(map[plan.Key]*sample), reason: "ordered"}
+		if before != nil && r.state(before) != Done {
+			added.previous = before.order.version
+		}
+		if stored, found := r.records[order.service]; found {
+			added.adopt(stored)
+		}
+		next[order.service] = added
+		r.options.Logger.Info("roll-out ordered", zap.String("service", order.service), zap.String("version", order.version),
+			zap.Uint64("revision", order.revision), zap.Duration("duration", order.duration))
+	}
+	r.rollouts = next
+}
 
-// Record records the result of a request.
-func (r *Rollouts) Record(Outcome) {}
+// Subscribe calls notify after each change of the state of a roll-out in the key-value
+// service. It must be called before Follow. notify must not block.
+func (r *Rollouts) Subscribe(notify func(service, version string, state State)) {
+	r.subscribers = append(r.subscribers, notify)
+}
 
-// Subscribe calls notify after each change of the state of a roll-out. It must be called
-// before Follow.
-func (r *Rollouts) Subscribe(func(service, version string, state State)) {}
+// Statuses returns the roll-outs of the orders in force.
+func (r *Rollouts) Statuses() []Status {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	statuses := make([]Status, 0, len(r.rollouts))
+	for _, rollout := range r.rollouts {
+		statuses = append(statuses, Status{
+			Order: rollout.order, State: r.state(rollout), Owner: r.ownerName(rollout), Share: rollout.share,
+			Reason: rollout.reason, Exposed: rollout.exposed,
+		})
+	}
+	slices.SortFunc(statuses, func(a, b Status) int { return strings.Compare(a.Order.service, b.Order.service) })
+	return statuses
+}
 
-// Statuses returns the roll-outs that this hall knows.
-func (r *Rollouts) Statuses() []Status { return nil }
+// state returns the state that the key-value service has or that an owner named. The caller
+// must hold the mutex.
+func (r *Rollouts) state(rollout *rollout) State {
+	if stored, found := r.records[rollout.order.service]; found && stored.Revision == rollout.order.revision && stored.state() != Running {
+		return stored.state()
+	}
+	return rollout.told
+}
