kernel/watch, kernel/revision: one process per zone reads the revision for the others

Cause: while watches return nothing, each process reads the revision of the store each 0.54 to 0.6 of the apply period.

Change: a process first asks a hall of its zone, chosen by rendezvous hashing (one for each 64 halls), for its revision and when the service last confirmed it, and takes over the confirmation if it is at most 0.45 of the apply period old. If the revision is higher, the process catches up as after a read of its own. It asks 0.05 of the apply period (at most 150 ms) before the check interval passes, so that a read after a call without an answer begins no later than before. A reader that was asked within four apply periods reads at 0.4; without calls it reads as before. It tells the age of the last call that it sent itself and that was answered, because an answer may have waited while the process was suspended.

No measurement on a deployment.

--- a/kernel/watch/verify.go
+++ b/kernel/watch/verify.go
@@ -12,16 +12,29 @@
 	"limpethall.dev/kernel/task"
 )
 
-// verify checks the state of a run whenever the watch has not been answered for the
-// check interval, until the run ends.
+// verify checks the state of a run whenever nothing has confirmed it for the check
+// interval, until the run ends. It first asks the reader, if there is one; a process that is
+// the reader of others reads the revision more often.
 func (s *Store) verify(ctx context.Context, generation int) {
 	unanswered := false // Whether the last read of the revision was not answered.
 	for ctx.Err() == nil && s.isRunning(generation) {
 		interval := s.fraction(minCheckInterval + rand.Float64()*(checkInterval-minCheckInterval))
-		if wait := interval - s.Age(); wait > 0 {
+		reader, found := s.currentReader()
+		if found {
+			interval -= s.askDuration()
+		}
+		wait := interval - s.Age()
+		untilRead, asked := s.untilReadForOthers()
+		if asked {
+			wait = min(wait, untilRead)
+		}
+		if wait > 0 {
 			task.Sleep(ctx, wait)
 			continue
 		}
+		if found && !asked && s.checkByReader(ctx, generation, reader, unanswered) {
+			continue
+		}
 		revision, sent, err := s.readRevision(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -50,6 +63,7 @@
 	ctx, cancel := context.WithTimeout(ctx, min(timeout, s.fraction(readTimeout)))
 	defer cancel()
 	sent = time.Now()
+	s.recordCheck(CheckRead, nil)
 	err = task.Guard(s.logger, "read of the revision", func() error {
 		listing, err := s.List(ctx, revisionPrefix)
 		revision = listing.Revision
@@ -63,11 +77,22 @@
 func (s *Store) confirm(revision uint64, sent time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !s.raise(revision, sent) {
+		return false
+	}
+	s.prove(sent)
+	return true
+}
+
+// raise reports whether this process has all changes up to a revision beyond which the
+// service had nothing at the given time. If so, its state is confirmed as of then. The caller
+// must hold the mutex.
+func (s *Store) raise(revision uint64, at time.Time) bool {
 	if revision > s.lastRevision {
 		return false
 	}
-	if sent.After(s.confirmedAt) {
-		s.confirmedAt = sent
+	if at.After(s.confirmedAt) {
+		s.confirmedAt = at
 	}
 	return true
 }
--- a/kernel/watch/watch.go
+++ b/kernel/watch/watch.go
@@ -9,13 +9,23 @@
 // get an error. Hence a subscriber has a change, or knows that its state may be old, within
 // the apply period of the options. All times are fractions of it.
 //
+// Calls to the service have a price, those between processes have none there. So a store may have a
+// reader: another process, which it asks for its revision and when the service last
+// confirmed that there is nothing beyond it. A process whose own revision is at least as high
+// is confirmed as of that time; one whose revision is lower is behind, as after a read of
+// its own. If the reader does not answer at once or its state was confirmed too long ago,
+// the process reads the revision by itself. A reader tells only what the service answered to
+// itself, counted from when it sent the call, and reads the revision more often as long as it
+// is asked.
+//
 // # Usage
 //
 //	store := watch.New(direct, watch.Options{ApplyPeriod: 2 * time.Second, Pause: 500 * time.Millisecond}, logger)
 //	changes, err := store.Watch(ctx, "hosts/", revision)
 //	age := store.Age() // Since the service last confirmed the state.
+//	store.SetReader(readers.Find) // Before the first Watch; package revision finds the reader of a zone.
 //
-// A Store logs why its watch ended and counts the outcomes of all watch calls.
+// A Store logs why its watch ended and counts the outcomes of all watch calls and checks.
 package watch
 
 import (
@@ -98,7 +108,8 @@
 	logger  *zap.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
-	pauses  *rate.Limiter // Limits the watch calls that returned changes.
+	pauses  *rate.Limiter         // Limits the watch calls that returned changes.
+	reader  func() (Reader, bool) // Nil if this process always reads the revision by itself.
 
 	mutex         sync.Mutex
 	running       bool
@@ -108,9 +119,14 @@
 	afterRevision uint64    // The events after this revision,
 	lastRevision  uint64    // up to this one, are buffered.
 	confirmedAt   time.Time // When the service last confirmed that there are no further events.
+	provenAt      time.Time // When the last call was sent whose answer confirmed it to this process; zero if none in this run.
+	askedAt       time.Time // When another process last asked for the confirmation.
+	heardAt       time.Time // When the reader last answered with a confirmation that was not too old.
+	readerFailed  bool      // Whether the last call to the reader failed.
 	changed       chan struct{}
 	cancelCall    context.CancelFunc // Cancels the watch call in progress.
 	outcomes      map[Outcome]int64
+	checks        map[Check]int64
 	lastLogged    Outcome // The last logged outcome, or empty after an answer.
 }
 
@@ -120,7 +136,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	options.Pause = max(minPause, options.Pause)
 	s := &Store{
-		Store: direct, options: options, logger: logger, ctx: ctx, cancel: cancel, changed: make(chan struct{}), outcomes: make(map[Outcome]int64),
+		Store: direct, options: options, logger: logger, ctx: ctx, cancel: cancel, changed: make(chan struct{}),
+		outcomes: make(map[Outcome]int64), checks: make(map[Check]int64),
 	}
 	s.pauses = rate.NewLimiter(rate.Every(options.Pause), maxBurst)
 	return s
@@ -206,7 +223,7 @@
 	s.running = true
 	s.generation++
 	s.events = nil
-	s.afterRevision, s.lastRevision, s.confirmedAt = after, after, time.Now()
+	s.afterRevision, s.lastRevision, s.confirmedAt, s.provenAt = after, after, time.Now(), time.Time{}
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.cancelCall = cancel // Until the first call begins.
 	go s.run(ctx, cancel, s.generation)
@@ -230,7 +247,7 @@
 			return err
 		})
 		replaced := callCtx.Err() != nil
-		ok = s.endCall(generation, replaced, changes, err, time.Since(started))
+		ok = s.endCall(generation, replaced, changes, err, started)
 		if ok && len(changes.Events) > 0 {
 			// Ends early if the call is to be made again.
 			task.Sleep(callCtx, max(minPause, s.pauses.Reserve().Delay()))
@@ -253,9 +270,9 @@
 	return s.lastRevision, true
 }
 
-// endCall processes the result of a watch call and reports whether the run continues.
+// endCall processes the result of a watch call that was sent at the given time and reports whether the run continues.
 // A call that was replaced ends with an error that says nothing about the service.
-func (s *Store) endCall(generation int, replaced bool, changes platform.Changes, err error, took time.Duration) bool {
+func (s *Store) endCall(generation int, replaced bool, changes platform.Changes, err error, sent time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !s.isCurrent(generation) {
@@ -264,12 +281,13 @@
 	if err != nil && replaced && s.ctx.Err() == nil {
 		return true
 	}
-	s.record(outcomeOf(err, changes), err, took)
+	s.record(outcomeOf(err, changes), err, time.Since(sent))
 	if err != nil {
 		s.fail(err)
 		return false
 	}
 	s.append(changes)
+	s.prove(sent)
 	s.notify()
 	return true
 }
