--- a/kernel/watch/reader.go
+++ b/kernel/watch/reader.go
@@ -192,7 +192,7 @@
 		return
 	}
 	if err != nil && !s.readerFailed {
-		s.logger.Info("reader of the revision did not answer; this process reads it by itself", zap.Duration("confirmed", time.Since(s.confirmedAt)), zap.Error(err))
+		s.logger.Info("reader of the revision did not confirm the state; this process reads it by itself", zap.Duration("confirmed", time.Since(s.confirmedAt)), zap.Error(err))
 	}
 	s.readerFailed = err != nil
 }
