hall/rollout/plan: notice a bad version in the last step, and delay steps earlier

The old version had about 20 answers in its last slice, beside which no number of failures is 4.5 standard deviations above. A few failures of which most were at one server did not delay the steps before. Change: the last step compares with the last 200 answers of the old version; a version is suspect if servers beside the worst ones fail at all, and 2 of their failures suffice.

--- a/hall/rollout/plan/evidence.go
+++ b/hall/rollout/plan/evidence.go
@@ -28,10 +28,12 @@
 	badDeviation = 4.5
 	// restDeviation and minRest apply to the answers without those of the worst servers.
 	restDeviation = 3.5
-	minRest       = 3
-	// suspectDeviation and minSuspect delay the next step.
-	suspectDeviation = 2.5
-	minSuspect       = 2
+	minRest       = 2
+	// suspectDeviation and minSuspect delay the next step, if servers beside the worst ones
+	// are above restSuspectDeviation.
+	suspectDeviation     = 2.5
+	restSuspectDeviation = 1.5
+	minSuspect           = 2
 	// rateFactor and the margins say how much worse than the old version is clearly worse.
 	rateFactor    = 2
 	failureMargin = 0.03
@@ -49,6 +51,8 @@
 	slicePeriod    = 500 * time.Millisecond
 	maxSlicePeriod = 2500 * time.Millisecond
 	sliceAnswers   = 20
+	// recentAnswers of the old version are its rate of failures once it has none any more.
+	recentAnswers = 200
 	// windowPeriod is the time over which slices are compared beside all slices, so that a
 	// version that turns bad late is noticed.
 	windowPeriod = 2500 * time.Millisecond
@@ -187,13 +191,12 @@
 	old      Counts
 	servers  map[string]Counts // Of the target version.
 	slices   []slice
-	// lastOld is the last slice of the old version with enough answers.
-	lastOld tally
 }
 
 // slice holds the comparisons by kind, without servers if there is none.
 type slice struct {
 	endedAt time.Time
+	old     tally // Failures of the old version.
 	strata  [2]stratum
 }
 
@@ -205,13 +208,10 @@
 	if period < slicePeriod || (period < maxSlicePeriod && r.old.Answers < sliceAnswers) {
 		return
 	}
-	r.slices = append(r.slices, slice{endedAt: now, strata: [2]stratum{r.stratum(failures), r.stratum(slowness)}})
+	r.slices = append(r.slices, slice{endedAt: now, old: r.old.tally(failures, 0), strata: [2]stratum{r.stratum(failures), r.stratum(slowness)}})
 	if len(r.slices) > maxSlices {
 		r.slices = r.slices[1:]
 	}
-	if r.old.Answers >= minOldAnswers {
-		r.lastOld = r.old.tally(failures, 0)
-	}
 	r.openedAt, r.old, r.servers = now, Counts{}, make(map[string]Counts)
 }
 
@@ -261,12 +261,12 @@
 
 // stratum returns the comparison of the slice in progress, without servers if there are too
 // few answers of the old version. In the last step, which has none, the rate of failures is
-// that of the last slice with some; times are not compared then, as they depend on the load.
+// that of the slices before; times are not compared then, as they depend on the load.
 func (r *routeEvidence) stratum(kind kind) stratum {
 	slowest := r.old.slowBucket()
 	old := r.old.tally(kind, slowest)
 	if old.answers < minOldAnswers && kind == failures {
-		old = r.lastOld
+		old = r.recentOld()
 	}
 	if old.answers < minOldAnswers {
 		return stratum{}
@@ -280,6 +280,16 @@
 	return compared
 }
 
+// recentOld returns the failures of the old version in the last slices. With 20 answers alone,
+// no number of failures of the target version would be above badDeviation.
+func (r *routeEvidence) recentOld() tally {
+	sum := tally{}
+	for index := len(r.slices) - 1; index >= 0 && sum.answers < recentAnswers; index-- {
+		sum = sum.plus(r.slices[index].old)
+	}
+	return sum
+}
+
 func (c Counts) tally(kind kind, slowest int) tally {
 	if kind == failures {
 		return tally{answers: c.Answers, bad: c.Failures}
@@ -364,8 +374,8 @@
 	if answered > 1 || servers > 1 {
 		rest := compare(strata, worst)
 		if !rest.exceeds(kind, minRest, restDeviation) || rest.target.rate() < uniformity*total.target.rate() {
-			// Other servers show nothing: the version is not suspect either.
-			result.Suspect = rest.exceeds(kind, minSuspect, suspectDeviation)
+			// If other servers show nothing, the version is not suspect either.
+			result.Suspect = rest.target.bad > 0 && rest.deviation >= restSuspectDeviation
 			return result
 		}
 	}
--- a/hall/rollout/plan/plan_test.go
+++ b/hall/rollout/plan/plan_test.go
@@ -126,6 +126,7 @@
 		"both fail":          {[]seconds{{counts(100, 40, usual), same(4, failing)}}, false},
 		"no old answers":     {[]seconds{{plan.Counts{}, same(4, failing)}}, false},
 		"late":               {[]seconds{{old, same(4, counts(100, 0, usual))}, {old, same(4, counts(5, 2, usual))}}, true},
+		"small last slice":   {[]seconds{{old, same(4, fine)}, {counts(20, 0, usual), same(4, fine)}, {plan.Counts{}, same(8, counts(10, 5, usual))}}, true},
 		"at the last step":   {[]seconds{{old, same(4, fine)}, {plan.Counts{}, same(4, failing)}}, true},
 		// The target version gets most of its requests while both versions fail.
 		"burst": {[]seconds{{counts(1000, 0, usual), same(4, counts(1, 0, usual))}, {counts(50, 20, 4*usual), same(4, counts(30, 12, 4*usual))}}, false},
