--- a/hall/gateway/metrics.go
+++ b/hall/gateway/metrics.go
@@ -12,6 +12,9 @@
 	"limpethall.dev/hall/balance"
 )
 
+// maxLogFields is the number of fields of the longest access log line.
+const maxLogFields = 40
+
 // Meters holds the metric instruments of a gateway.
 type Meters struct {
 	requests        metric.Int64Counter
@@ -59,11 +62,11 @@
 // log writes the access log line of the request and records its metrics.
 func (h *requestHandler) log() {
 	elapsed := time.Since(h.request.Received)
-	fields := []zap.Field{
+	fields := append(make([]zap.Field, 0, maxLogFields),
 		zap.String("requestId", h.request.ID), zap.Duration("took", elapsed), zap.Duration("first", h.firstByteDelay), zap.Duration("keepers", h.beginDuration),
 		zap.Duration("token", h.admission.Took()), zap.Int("loanCalls", h.admission.Calls()), zap.Duration("backend", h.sendDuration),
 		zap.Duration("limitWait", h.limitWait), zap.Int("limitRefusals", h.limitRefusals), zap.Int("sends", h.sends), zap.Int("runs", h.possibleRuns),
-	}
+	)
 	kind, status := "none", h.status
 	if h.catalog != nil {
 		fields = append(fields, zap.Uint64("catalog", h.catalog.Version()))
