kernel/connection, hall/turns: call keepers without goroutines for each connection

The transport of net/http passes each request to a goroutine that writes and each response through one that reads, keeps a write buffer for each connection, and allocates up to 32 KB to copy a body. Change: connection.Transport, an http.RoundTripper on connection.Pool with at most as many idle connections as before. Idle connections are kept for 10 s instead of 30 s. A connection that is no socket, as in tests, is checked before it is used again as well.

--- a/hall/turns/quorum.go
+++ b/hall/turns/quorum.go
@@ -210,6 +210,7 @@
 			}
 		}
 		if round%directProbeRounds == 0 {
+			c.transport.CloseExpired()
 			for _, keeper := range c.forwardedKeepers() {
 				task.Go(c.logger, "direct keeper probe", func() { c.probeDirect(ctx, keeper) })
 			}
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -30,6 +30,7 @@
 
 	"limpethall.dev/kernel/buffer"
 	"limpethall.dev/kernel/callerid"
+	"limpethall.dev/kernel/connection"
 	"limpethall.dev/kernel/host"
 	"limpethall.dev/kernel/network"
 	"limpethall.dev/kernel/replication"
@@ -54,11 +55,6 @@
 	settleTimeout = 2 * time.Second
 	// maxIdleConnsPerKeeper is how many idle connections to a keeper are kept.
 	maxIdleConnsPerKeeper = 8
-	// idleTimeout is how long an unused connection is kept, less than keepers and halls keep it.
-	idleTimeout = 30 * time.Second
-	// connectionBufferBytes is the size of a connection's buffers. Most of a large message is
-	// read and written without them.
-	connectionBufferBytes = 4 << 10
 )
 
 // Turn describes a turn that is about to run.
@@ -204,7 +200,7 @@
 	otherHalls func() []host.Member
 	memory     *buffer.Budget // Bounds what forwarded calls keep.
 	logger     *zap.Logger
-	transport  *http.Transport
+	transport  *connection.Transport
 	httpClient *http.Client
 
 	mutex    sync.Mutex
@@ -217,10 +213,7 @@
 // New returns a client of a hall in the availability zone. otherHalls returns the other halls,
 // memory bounds what their calls keep.
 func New(rule replication.Rule, zone string, keepers Membership, otherHalls func() []host.Member, dialer network.Network, memory *buffer.Budget, logger *zap.Logger) *Client {
-	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerKeeper, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		WriteBufferSize: connectionBufferBytes, ReadBufferSize: connectionBufferBytes,
-	}
+	transport := connection.NewTransport(dialer, maxIdleConnsPerKeeper)
 	return &Client{
 		rule: rule, zone: zone, keepers: keepers, otherHalls: otherHalls, memory: memory, logger: logger, transport: transport, httpClient: &http.Client{Transport: transport},
 		callers: make(map[keeperRoute]*caller), failedAt: make(map[string]time.Time), viaHall: make(map[string]endpoint), probing: make(map[string]bool),
--- a/kernel/connection/connection.go
+++ b/kernel/connection/connection.go
@@ -22,6 +22,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -91,6 +93,7 @@
 	dialer  network.Network
 	mutex   sync.Mutex
 	servers map[string]*serverConns
+	maxIdle int // Idle connections to a server, zero for no limit.
 	closed  bool
 }
 
@@ -152,6 +155,29 @@
 	bodyWriters   = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bodyBufferBytes) }}
 )
 
+// closeExpired closes the idle connections that are no longer reusable because of their age.
+func (p *Pool) closeExpired(now time.Time) {
+	var expired []*pooledConn
+	p.mutex.Lock()
+	for address, server := range p.servers {
+		server.idle = slices.DeleteFunc(server.idle, func(conn *pooledConn) bool {
+			if now.Before(conn.idleUntil) {
+				return false
+			}
+			expired = append(expired, conn)
+			server.open--
+			return true
+		})
+		if server.open <= 0 {
+			delete(p.servers, address)
+		}
+	}
+	p.mutex.Unlock()
+	for _, conn := range expired {
+		_ = conn.socket.Close()
+	}
+}
+
 // plainWriter hides the other methods of a writer, by which a bufio.Writer would copy a body
 // through one more buffer.
 type plainWriter struct{ io.Writer }
@@ -333,7 +359,7 @@
 	conn.idleUntil = time.Now().Add(idleTime)
 	p.mutex.Lock()
 	server := p.servers[conn.address]
-	if server == nil || p.closed || idleTime <= 0 {
+	if server == nil || p.closed || idleTime <= 0 || (p.maxIdle > 0 && len(server.idle) >= p.maxIdle) {
 		p.mutex.Unlock()
 		p.discard(conn)
 		return
@@ -386,7 +412,7 @@
 	}
 	socket, ok := c.socket.(syscall.Conn)
 	if !ok {
-		return true
+		return c.isSilent()
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
@@ -402,6 +428,16 @@
 	return err == nil && reusable
 }
 
+// isSilent is isReusable for a connection that is no socket of the system: it reads with a
+// deadline in the past, which fails at once if the server has neither closed it nor sent data.
+func (c *pooledConn) isSilent() bool {
+	if err := c.socket.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+	_, err := c.socket.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.socket.SetReadDeadline(time.Time{}) == nil
+}
+
 // parseKeepAliveTimeout returns the timeout parameter of a Keep-Alive header.
 func parseKeepAliveTimeout(header string) (time.Duration, bool) {
 	var seconds int
