--- a/hall/balance/zone.go
+++ b/hall/balance/zone.go
@@ -39,7 +39,7 @@
 	compared := b.compare(query.Service.Name, usable)
 	servers := make([]zonechoice.Server, 0, len(usable))
 	for _, server := range usable {
-		if query.ExcludedVersion != "" && server.Version() == query.ExcludedVersion {
+		if !query.allowsVersion(server.Version()) {
 			continue
 		}
 		state := b.stateOf(server)
--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -75,7 +75,7 @@
 		h.account.SetPriority(buffer.PriorityStarted)
 		exchange, exchangeCtx := h.beginExchange(ctx, choice)
 		sentAt := time.Now()
-		sample := h.newSample(choice.Server(), sentAt)
+		sample := h.newSample(choice, sentAt)
 		response, err := h.gateway.options.Backend.Send(exchangeCtx, choice.Server(), h.newBackendRequest(resumeAfter))
 		exchange.pauseWatch()
 		h.sendDuration += time.Since(sentAt)
--- a/hall/gateway/sample.go
+++ b/hall/gateway/sample.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"time"
 
+	"limpethall.dev/hall/balance"
 	"limpethall.dev/hall/rollout"
-	"limpethall.dev/kernel/backend"
 	"limpethall.dev/kernel/connection"
 )
 
@@ -23,6 +23,7 @@
 	outcome   rollout.Outcome
 	closed    func()
 	sentAt    time.Time
+	readDelay time.Duration // Expected, and not part of the time that is compared.
 	deadline  time.Time
 	body      *sampledBody // Nil before the response.
 	abandoned bool         // Whether the exchange ended for a reason that is not the server's.
@@ -30,24 +31,33 @@
 }
 
 // newSample begins the sample of a send, which uses up the permission of the request.
-func (h *requestHandler) newSample(server backend.Server, now time.Time) *sample {
+func (h *requestHandler) newSample(choice *balance.Choice, now time.Time) *sample {
 	rollouts := h.gateway.options.Rollouts
 	if rollouts == nil {
 		return nil
 	}
 	h.permission = permission{}
+	server := choice.Server()
+	_, readDelay := choice.ExpectedRead()
 	return &sample{
-		rollouts: rollouts, sentAt: now, deadline: h.deadline, closed: rollouts.Opened(server.Service(), server.Version()),
+		readDelay: readDelay,
+		rollouts:  rollouts, sentAt: now, deadline: h.deadline, closed: rollouts.Opened(server.Service(), server.Version()),
 		outcome: rollout.Outcome{Service: server.Service(), Route: h.route.Name, Server: server.ID(), Version: server.Version(), Cold: server.Cold(now)},
 	}
 }
 
+// work returns the time until the server responded, without that for reading the prompt:
+// servers of a new version hold none yet.
+func (s *sample) work(respondedAt time.Time) time.Duration {
+	return max(0, respondedAt.Sub(s.sentAt)-s.readDelay)
+}
+
 // observe begins to observe a response of the server, which ran the request.
 func (s *sample) observe(response *Response) {
 	if s == nil {
 		return
 	}
-	s.outcome.FirstByte = time.Since(s.sentAt)
+	s.outcome.FirstByte = s.work(time.Now())
 	s.outcome.Failed = response.Status >= http.StatusInternalServerError
 	s.body = &sampledBody{body: response.Body}
 	response.Body = s.body
@@ -92,7 +102,7 @@
 	}
 	var incompleteErr *connection.IncompleteResponseError
 	if errors.As(err, &incompleteErr) {
-		s.outcome.FirstByte = time.Since(s.sentAt)
+		s.outcome.FirstByte = s.work(time.Now())
 		s.breakOff(ctx, err)
 	} else {
 		s.abandoned = true
@@ -109,7 +119,7 @@
 	s.closed()
 	begun := s.body != nil && !s.body.firstByteAt.IsZero()
 	if begun {
-		s.outcome.FirstByte = s.body.firstByteAt.Sub(s.sentAt)
+		s.outcome.FirstByte = s.work(s.body.firstByteAt)
 	}
 	if !s.abandoned || begun || s.outcome.Failed {
 		s.rollouts.Record(s.outcome)
--- a/hall/rollout/coordinator.go
+++ b/hall/rollout/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -28,6 +29,17 @@
 	probeInterval = 600 * time.Millisecond
 )
 
+// unknownOrderError reports a hall that has not read the order yet.
+type unknownOrderError struct {
+	hall     string
+	revision uint64
+}
+
+// Error implements error.
+func (e *unknownOrderError) Error() string {
+	return fmt.Sprintf("hall %s has not read the order at revision %d", e.hall, e.revision)
+}
+
 // contact is the state of a hall that does not answer.
 type contact struct {
 	failures int
@@ -134,6 +146,10 @@
 	reply, err := r.options.Client(hall).Report(callCtx, report)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if err == nil && reply.GetOrder() != rollout.order.revision {
+		// It can't decide, so the next candidate must.
+		err = &unknownOrderError{hall: hall.Name(), revision: rollout.order.revision}
+	}
 	if err == nil {
 		delete(r.failures, hall.Name())
 		r.accept(rollout, report, reply, sentAt)
@@ -177,9 +193,6 @@
 
 // accept takes the reply of an owner. The caller must hold the mutex.
 func (r *Rollouts) accept(rollout *rollout, report *wire.RolloutReport, reply *wire.RolloutGrant, sentAt time.Time) {
-	if reply.GetOrder() != rollout.order.revision {
-		return
-	}
 	switch reply.GetState() {
 	case wire.RolloutState_ROLLOUT_STATE_DONE:
 		rollout.told = Done
@@ -200,10 +213,12 @@
 		remaining = max(0, remaining-(rollout.exposed-report.GetExposed()))
 	}
 	rollout.grant.remaining = remaining
-	rollout.grant.expiresAt = sentAt.Add(time.Duration(reply.GetValidMilliseconds()) * time.Millisecond)
-	rollout.grant.share = reply.GetShare()
+	valid := min(grantPeriod.Milliseconds(), reply.GetValidMilliseconds())
+	rollout.grant.expiresAt = sentAt.Add(time.Duration(valid) * time.Millisecond)
 	rollout.grant.servers = reply.GetServers()
-	rollout.share = reply.GetShare()
+	if share := reply.GetShare(); share >= 0 && share <= 1 {
+		rollout.grant.share, rollout.share = share, share
+	}
 }
 
 // Report processes the report of another hall, which takes this hall for the owner.
--- a/hall/rollout/record.go
+++ b/hall/rollout/record.go
@@ -20,8 +20,11 @@
 	writeTimeout    = time.Second
 	writeRetryDelay = 500 * time.Millisecond
 	// withdrawnDelay is the time by which each further candidate writes the end of a
-	// withdrawn order later than the one before it.
+	// withdrawn order later than the one before it. The first one counts as the one
+	// after withdrawnRank others, so that it has read an order that others have read: records
+	// and orders arrive by different watches.
 	withdrawnDelay = time.Second
+	withdrawnRank  = 2
 )
 
 // record is the state of a roll-out in the key-value service.
@@ -49,6 +52,8 @@
 	switch started := time.UnixMilli(stored.StartedUnixMilli); {
 	case stored.Revision < o.order.revision && stored.state() != Done:
 		o.previous = stored.Version
+	case stored.Revision < o.order.revision && stored.Version == o.order.version:
+		o.told = Done // An order that was written again has nothing to move.
 	case stored.Revision == o.order.revision && started.Before(o.started):
 		o.started = started
 	}
@@ -198,7 +203,7 @@
 			r.withdrawn[service] = since
 		}
 		for rank, hall := range host.Top(service, halls, maxCandidates) {
-			if hall.Name() != r.options.OwnName || now.Sub(since) < time.Duration(rank)*withdrawnDelay {
+			if hall.Name() != r.options.OwnName || now.Sub(since) < time.Duration(rank+withdrawnRank)*withdrawnDelay {
 				continue
 			}
 			r.withdrawn[service] = now.Add(writeRetryDelay) // For the next attempt.
--- a/hall/rollout/selection.go
+++ b/hall/rollout/selection.go
@@ -56,7 +56,10 @@
 	switch {
 	case rollout != nil && recorded && stored.Revision > rollout.order.revision:
 		// A later order that this hall has not read yet.
-		return without{versions: []string{stored.Version}}
+		if r.state(rollout) == Done {
+			return without{versions: []string{stored.Version}}
+		}
+		return without{versions: append(rollout.forbidden(), stored.Version)}
 	case rollout != nil && r.state(rollout) == Done:
 		return preferring{version: rollout.order.version}
 	case rollout != nil && (r.state(rollout) == RolledBack || !r.recordsKnown):
@@ -65,8 +68,6 @@
 		return sharing{rollout: rollout}
 	case recorded && stored.state() != Done:
 		return without{versions: []string{stored.Version}} // Withdrawn or rolled back.
-	case r.ordersKnown && r.recordsKnown:
-		return unrestricted{}
 	case recorded:
 		return preferring{version: stored.Version}
 	}
--- a/limpet/plain/client.go
+++ b/limpet/plain/client.go
@@ -132,9 +132,10 @@
 func (r *writeResult) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
 		select {
-		case r.written <- info.Err:
+		case <-r.written: // Of an attempt on a connection that was closed meanwhile.
 		default:
 		}
+		r.written <- info.Err
 	}}
 }
 
