limit: returning a token of fractions of loans always ends

A token may be taken from parts of several loans whose sum is one but for rounding. Putting it back then left a remainder below what changes the amount of the next record, and if that loan could not take it back, the loop never ended: the bucket stayed locked and the hall used all of its processor.

TestReturnOfFractionsEnds hangs before.

--- a/kernel/limit/bucket.go
+++ b/kernel/limit/bucket.go
@@ -157,14 +157,19 @@
 	defer b.mutex.Unlock()
 	b.refill(now)
 	missing := 1.0
+	// Each pass removes a record or leaves nothing missing. Amounts are fractions, so that a loop
+	// until a record is used up might never end.
 	for len(b.spent) > 0 && missing > 0 {
-		last := &b.spent[len(b.spent)-1]
+		last := b.spent[len(b.spent)-1]
+		b.spent = b.spent[:len(b.spent)-1]
 		part := min(missing, last.amount)
-		if b.returnToLoan(*last, part) {
-			missing -= part
+		if !b.returnToLoan(last, part) {
+			continue
 		}
-		if last.amount -= part; last.amount <= 0 {
-			b.spent = b.spent[:len(b.spent)-1]
+		missing -= part
+		if last.amount > part {
+			last.amount -= part
+			b.spent = append(b.spent, last)
 		}
 	}
 	b.tokens += missing
--- a/kernel/limit/loan_test.go
+++ b/kernel/limit/loan_test.go
@@ -39,3 +39,33 @@
 		t.Error("returned token of a loan that has expired: got one, want none")
 	}
 }
+
+// TestReturnOfFractionsEnds guards against a hall that hangs with a bucket locked, and uses all of
+// its processor: a token was taken from parts of loans whose sum is one but for rounding, and the
+// loan before them can't take the rest back, as its lender was told that it is spent.
+func TestReturnOfFractionsEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	borrower := limit.NewBucket(now, 0)
+	borrower.Configure(now, 10, 10)
+	borrower.Accept(now, now, "told", limit.NewLoan(1, 1, limit.LoanLifetime))
+	if !borrower.Take(now) {
+		t.Fatal("token of the first loan: got none")
+	}
+	borrower.DrainSettled("told")
+	for id, amount := range []float64{0.1, 0.2, 0.7 + 1e-16} {
+		borrower.Accept(now, now, "lender", limit.NewLoan(uint64(2+id), amount, limit.LoanLifetime))
+	}
+	if !borrower.Take(now) {
+		t.Fatal("token of the parts: got none")
+	}
+	done := make(chan struct{})
+	go func() {
+		borrower.Return(now)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("return of a token: not finished after 5 s")
+	}
+}
