--- a/limpet/plain/client.go
+++ b/limpet/plain/client.go
@@ -19,6 +19,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"limpethall.dev/kernel/failure"
@@ -125,25 +126,30 @@
 // writeResult is the result of writing a request. The system reports a reset of the connection
 // once. If the writer receives the error, the reader sees the end of the connection alone, so
 // a response that ends with its connection is whole only if the request was written.
-type writeResult struct{ written chan error }
+type writeResult struct {
+	written chan struct{}
+	failed  atomic.Bool // Whether the last attempt failed.
+}
 
-func newWriteResult() *writeResult { return &writeResult{written: make(chan error, 1)} }
+func newWriteResult() *writeResult { return &writeResult{written: make(chan struct{}, 1)} }
 
+// trace records the result. The transport may make a second attempt if the connection of the
+// first one was closed meanwhile.
 func (r *writeResult) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		r.failed.Store(info.Err != nil)
 		select {
-		case <-r.written: // Of an attempt on a connection that was closed meanwhile.
+		case r.written <- struct{}{}:
 		default:
 		}
-		r.written <- info.Err
 	}}
 }
 
 // isWritten waits for the result and reports whether the request was written completely.
 func (r *writeResult) isWritten(ctx context.Context) bool {
 	select {
-	case err := <-r.written:
-		return err == nil
+	case <-r.written:
+		return !r.failed.Load()
 	case <-ctx.Done():
 		return false
 	}
