--- a/hall/balance/balance.go
+++ b/hall/balance/balance.go
@@ -5,9 +5,10 @@
 // queue at the server, its utilization, the network latency to its availability
 // zone, and the recomputation of the program's history on a server that does not
 // hold it. Where servers are compared, it also covers how fast and how reliable the server
-// is relative to its peers, and about equal servers are chosen at random. Servers with a recent failure are only used as a last resort. A cold
-// server receives no more than this hall's portion of its cold rate. A server that
-// names a limit is chosen if the wait for the limit costs less than another server.
+// is relative to its peers, and about equal servers are chosen at random. Servers with a
+// recent failure are only used as a last resort. A cold server receives no more than this
+// hall's portion of its cold rate. A server that names a limit is chosen if the wait for the
+// limit costs less than another server.
 //
 // # Usage
 //
