--- a/hall/zonechoice/portion.go
+++ b/hall/zonechoice/portion.go
@@ -16,9 +16,8 @@
 	// maxGap bounds the effect of a long queue.
 	maxGap = 200 * time.Millisecond
 	// gain and integralGain lead from the difference of the waits in seconds to the portion,
-	// and to its change per second. With reports that are 200 ms old, they settle within about
-	// 3 s of a steady overload in TestOverloadLeavesSteadily. With 2 and 1.5 and a fullDelay of
-	// 60 ms the portion kept swinging by 0.2.
+	// and to its change per second. With reports that are 200 ms old, the portion settles within
+	// about 3 s of a steady overload. Higher gains make it swing.
 	gain         = 2.5
 	integralGain = 1.5
 	// freeLoad is the load of the own zone below which no request leaves. It is well below
