Review case 9: keepers use more than their memory while clients send long bodies

Tried: 24 programs that send bodies of 4 MB beside 30 that send 17 kB, while the stand-in of the platform kills processes above MemoryMb.

--- a/review/driver-2/engine.go
+++ b/review/driver-2/engine.go
@@ -36,6 +36,7 @@
 	answers      int
 	copies       int
 	refusals     int
+	forget       bool    // Whether no runs are recorded.
 	copyFraction float64 // Portion of answers of which a second copy arrives late.
 	random       *rand.Rand
 }
@@ -153,7 +154,9 @@
 func (e *engine) begin(r run) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.runs = append(e.runs, r)
+	if !e.forget {
+		e.runs = append(e.runs, r)
+	}
 }
 
 func (e *engine) write(conn net.Conn, text string) ([]byte, error) {
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -10,6 +10,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -27,6 +29,7 @@
 var cases = map[string]func(s *site, trouble bool) (broken []string, err error){
 	"late-refusal": lateRefusal,
 	"resumed-turn": resumedTurn,
+	"large-bodies": largeBodies,
 }
 
 func main() { os.Exit(play()) }
@@ -52,6 +55,13 @@
 		fmt.Fprintln(os.Stderr, "unknown case")
 		return exitInvalid
 	}
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupts
+		s.stop()
+		os.Exit(exitInvalid)
+	}()
 	timer := time.AfterFunc(maxDuration, func() {
 		record.printf("the case did not end in time")
 		s.stop()
--- a/review/driver-2/site.go
+++ b/review/driver-2/site.go
@@ -49,6 +49,7 @@
 // machine runs one process.
 type machine struct {
 	name, program, settings, ip string
+	memoryMb                    int
 	command                     *exec.Cmd
 	ended                       chan struct{}
 }
@@ -185,9 +186,13 @@
 	}
 	var text strings.Builder
 	isHall := m.program == "target/hall"
-	class, serves, disk, memoryMb, cpu := "store", `"store"`, 440, 154, 0.8
+	m.memoryMb = 154
 	if isHall {
-		class, serves, disk, memoryMb, cpu = "front", `"front","control"`, 0, 134, 0.304
+		m.memoryMb = 134
+	}
+	class, serves, disk, cpu := "store", `"store"`, 440, 0.8
+	if isHall {
+		class, serves, disk, cpu = "front", `"front","control"`, 0, 0.304
 	}
 	fmt.Fprintf(&text, "Node = %q\nRole = %q\nMachineClass = %q\nServes = [%s]\nIp = %q\nZone = %q\nRegion = \"region\"\nInternalPorts = [%d,%d]\nSeeds = [%s]\nBootstrap = %t\nFaultCounted = %t\n",
 		m.name, filepath.Base(m.program), class, serves, m.ip, zone, firstInternalPort, lastInternalPort, strings.Join(seeds, ","), bootstrap, !isHall)
@@ -202,7 +207,7 @@
 	if isHall {
 		fmt.Fprintf(&text, "Front = %q\nReady = %q\nControl = %q\n", m.address(frontPort), m.address(readyPort), m.address(controlPort))
 	}
-	fmt.Fprintf(&text, "[Limits]\nCpuShare = %g\nCores = 1\nMemoryMb = %d\nMaxFds = 4100\nLinkMbps = 1000.0\nDiskMb = %d\n", cpu, memoryMb, disk)
+	fmt.Fprintf(&text, "[Limits]\nCpuShare = %g\nCores = 1\nMemoryMb = %d\nMaxFds = 4100\nLinkMbps = 1000.0\nDiskMb = %d\n", cpu, m.memoryMb, disk)
 	text.WriteString(`[FaultTolerance]
 Machines = 1
 Zones = 1
@@ -243,7 +248,8 @@
 		return err
 	}
 	m.command = exec.Command(m.program, "run")
-	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LIMPETHALL_CONFIG=" + m.settings}
+	// The machines of the deployment have one core.
+	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LIMPETHALL_CONFIG=" + m.settings, "GOMAXPROCS=1"}
 	m.command.Stdout, m.command.Stderr = output, output
 	// A process must not outlive this one.
 	m.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
