Keep the whole output of a turn whose stream is taken up

What callers saw: a turn's stream breaks off after some events, for example because its hall is killed. The caller takes it up at another hall with Last-Event-Id and gets the rest. The next turn runs with a history that lacks the events before, and so does the rest of the program.

Cause: an attempt stored the events that it relayed itself as the whole output of the turn, also if it began after a given event. What an earlier attempt had relayed was in the memory of the hall that relayed it and nowhere else, so no hall could have completed it.

Change: on routes that keep the history and are resumable, an event is stored on a quorum of keepers before it is relayed. The reservation of a turn names its stream by a digest of the request, so that the reply to the reservation of the attempt that takes the stream up tells, by the intersection of quorums, which attempts relayed the caller's last event. The hall reads the output up to there from the newest of these and adds the rest to it. An event that no keeper knows is refused with 503. If events can't be stored, the stream goes on without, and they are stored later; events use at most half of a keeper's index.

Weighed: running the turn again from its start and leaving out what the caller has (another run may write something else, and the answer would not be the engine's whole body); memory of other halls (lost if all are killed); engines (they know nothing of an earlier run).

--- a/hall/gateway/gateway.go
+++ b/hall/gateway/gateway.go
@@ -86,6 +86,9 @@
 	Begin(ctx context.Context, turn turns.Turn) (*turns.ActiveTurn, error)
 	// Finish settles the reservation at the given tokens and stores the turn.
 	Finish(ctx context.Context, turn *turns.ActiveTurn, tokens int64, input, output []byte) error
+	// StoreEvents stores events of the turn's stream, so that the stream can be taken up at
+	// another hall.
+	StoreEvents(ctx context.Context, turn *turns.ActiveTurn, events []turns.Event) error
 	// Settle settles the reservation of a turn that is not stored.
 	Settle(turn *turns.ActiveTurn, tokens int64)
 }
@@ -199,6 +202,7 @@
 	body        net.Buffers     // History and body of the request.
 	account     *buffer.Account // Takes all memory that the request keeps, nil for no limit.
 	output      *buffer.Output  // Kept for the record of the turn.
+	events      *eventBatch     // Of a stream whose events are stored before they are relayed, nil for others.
 	version     *string         // Software version of the servers of a resumable stream.
 	permission  permission      // To send to servers of some software versions.
 	affinityKey string          // Same for requests that share a history; empty for none.
@@ -218,6 +222,7 @@
 	refusal        *Refusal
 	abortErr       error
 	beginDuration  time.Duration // Time spent in TurnStore.Begin.
+	eventsDuration time.Duration // Time spent in TurnStore.StoreEvents.
 	sendDuration   time.Duration // Time from sends to backend servers to their response headers.
 	firstByteDelay time.Duration // Time until the response header was written.
 }
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -40,6 +40,8 @@
 	truncated bool  // Reading the body ends with an error.
 	cause     error // The error of a truncated body, a reset connection if nil.
 	stream    bool
+	events    string        // In place of the body, one event after each pause.
+	pause     time.Duration // Before each event.
 }
 
 // fakeBackend returns the n-th response, or the last one, for the n-th request.
@@ -65,6 +67,9 @@
 	if next.stream {
 		response.Header.Set("Content-Type", "text/event-stream")
 	}
+	if next.events != "" {
+		response.Body = &slowEvents{rest: next.events, pause: next.pause}
+	}
 	if next.truncated {
 		response.Body = io.MultiReader(strings.NewReader(next.body), &brokenReader{cause: next.cause})
 	}
@@ -105,6 +110,23 @@
 	return t.crashes
 }
 
+// slowEvents returns one event for each read, after a pause.
+type slowEvents struct {
+	rest  string
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (s *slowEvents) Read(data []byte) (int, error) {
+	event, rest, found := strings.Cut(s.rest, "\n\n")
+	if !found {
+		return 0, io.EOF
+	}
+	time.Sleep(s.pause)
+	s.rest = rest
+	return copy(data, event+"\n\n"), nil
+}
+
 type brokenReader struct{ cause error }
 
 // Read implements io.Reader.
@@ -150,6 +172,10 @@
 	beginErr  error
 	calls     []string
 	finishErr error
+	events    []string // Stored, as ID>data.
+	eventsErr error
+	relayed   int    // Of the stored events, set by a test.
+	onEvents  func() // Called as events are stored, nil for none.
 }
 
 var callsMutex sync.Mutex
@@ -173,6 +199,19 @@
 	return s.finishErr
 }
 
+// StoreEvents implements gateway.TurnStore.
+func (s *fakeTurnStore) StoreEvents(_ context.Context, _ *turns.ActiveTurn, events []turns.Event) error {
+	callsMutex.Lock()
+	defer callsMutex.Unlock()
+	for _, event := range events {
+		s.events = append(s.events, fmt.Sprintf("%s>%s", event.ID(), event.Data()))
+	}
+	if s.onEvents != nil {
+		s.onEvents()
+	}
+	return s.eventsErr
+}
+
 // Settle implements gateway.TurnStore.
 func (s *fakeTurnStore) Settle(_ *turns.ActiveTurn, tokens int64) {
 	callsMutex.Lock()
@@ -208,6 +247,7 @@
 		{Name: "once", Hostname: "desk.example", Prefix: "/once/", Kind: catalog.KindAtMostOnce, Attempts: 2},
 		{Name: "resumable", Hostname: "desk.example", Prefix: "/resumable/", Kind: catalog.KindStream, Attempts: 2, Resumable: true},
 		{Name: "kept", Hostname: "desk.example", Prefix: "/kept/", Kind: catalog.KindStream, Attempts: 2, KeepsHistory: true, Retention: time.Minute},
+		{Name: "walk", Hostname: "desk.example", Prefix: "/walk/", Kind: catalog.KindStream, Attempts: 2, Resumable: true, KeepsHistory: true, Retention: time.Minute},
 	}
 	for index := range routes {
 		routes[index].Splits = []catalog.Split{{Service: "models", Weight: 1}}
--- a/hall/gateway/metrics.go
+++ b/hall/gateway/metrics.go
@@ -88,6 +88,9 @@
 	if h.request.Resumes != "" || h.request.LastEventID != "" {
 		fields = append(fields, zap.String("resumes", h.request.Resumes), zap.String("lastEvent", h.request.LastEventID))
 	}
+	if h.eventsDuration > 0 {
+		fields = append(fields, zap.Duration("events", h.eventsDuration))
+	}
 	if h.request.HasProgramTime {
 		fields = append(fields, zap.Duration("programTime", h.request.ProgramTime), zap.Int64("lengthHint", h.request.LengthHint), zap.Bool("late", h.late))
 	}
--- a/hall/gateway/request.go
+++ b/hall/gateway/request.go
@@ -31,6 +31,8 @@
 	Timeout time.Duration
 	// Program is the ID of the program, empty for a request outside of any.
 	Program string
+	// Session identifies one line of turns of the program, empty if not stated.
+	Session string
 	// Budget is the program's token budget, zero for none.
 	Budget int64
 	// MaxTokens is the most tokens that the request may produce.
--- a/hall/gateway/stream.go
+++ b/hall/gateway/stream.go
@@ -50,7 +50,7 @@
 	begun := time.Now()
 	for {
 		before := progress.events
-		err := response.exchange.explain(h.relayEvents(response, progress))
+		err := response.exchange.explain(h.relayEvents(ctx, response, progress))
 		response.exchange.end(ctx, err, max(0, progress.events-before-1)*max(1, h.service.EventTokens))
 		response.sample.breakOff(ctx, err)
 		response.release()
@@ -131,33 +131,50 @@
 
 // relayEvents relays complete events until the stream ends. Events that are
 // already buffered are flushed together.
-func (h *requestHandler) relayEvents(response *serverResponse, progress *streamProgress) error {
+func (h *requestHandler) relayEvents(ctx context.Context, response *serverResponse, progress *streamProgress) error {
 	reader := eventstream.New(response.Body, h.account)
 	defer reader.Close()
 	flusher := http.NewResponseController(h.writer)
 	for {
 		event, err := reader.Next()
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
+		if err != nil {
+			if relayErr := h.relayBatch(ctx, progress); relayErr != nil {
+				return relayErr
+			}
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
 			return err
 		}
 		response.exchange.begin()
-		if _, err := h.writer.Write(event.Bytes()); err != nil {
-			return &callerError{cause: err}
+		if h.events != nil {
+			err = h.events.add(event)
+		} else {
+			err = h.relayEvent(event, progress)
 		}
-		if err := progress.addEvent(event, h.route.KeepsHistory); err != nil {
+		if err != nil {
 			return err
 		}
-		if !reader.HasBuffered() {
-			if err := flusher.Flush(); err != nil {
-				return &callerError{cause: err}
-			}
+		if reader.HasBuffered() && !h.events.isFull() {
+			continue
+		}
+		if err := h.relayBatch(ctx, progress); err != nil {
+			return err
+		}
+		if err := flusher.Flush(); err != nil {
+			return &callerError{cause: err}
 		}
 	}
 }
 
+// relayEvent writes an event to the caller.
+func (h *requestHandler) relayEvent(event eventstream.Event, progress *streamProgress) error {
+	if _, err := h.writer.Write(event.Bytes()); err != nil {
+		return &callerError{cause: err}
+	}
+	return progress.addEvent(event, h.route.KeepsHistory)
+}
+
 // addEvent records a relayed event, and its data if keepData is set. Events
 // without data are not counted. It returns a *buffer.FullError if there is no memory for the
 // data.
--- a/hall/gateway/turn.go
+++ b/hall/gateway/turn.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"limpethall.dev/hall/turns"
@@ -41,6 +42,9 @@
 		turn.ServerVersion, turn.Resumes, turn.TakesUp = h.version, h.request.Resumes, h.takesUpStream()
 		turn.Retention = max(turn.Retention, minVersionRetention)
 	}
+	if hasTurn && h.route.KeepsHistory && h.route.Resumable {
+		turn.Stream, turn.LastEvent, turn.EventRetention = h.streamDigest(), h.request.LastEventID, time.Until(h.deadline)+minVersionRetention
+	}
 	if h.route.KeepsHistory && hasTurn {
 		if refusal := h.reserveTurn(); refusal != nil {
 			return refusal
@@ -62,9 +66,27 @@
 		h.affinityKey = active.Placement()
 	}
 	h.body = append(slices.Clone(active.History()), h.request.Body)
+	if err := h.output.Append(active.Relayed()...); err != nil {
+		h.gateway.options.Turns.Settle(active, 0)
+		return refuseRetryable(defaultRetryAfter, "%v", err)
+	}
+	if turn.Stream != 0 {
+		h.events = newEventBatch(h.account, h.output, turn.LastEvent, active.Relayed())
+	}
 	return h.applyResumedVersion(active)
 }
 
+// streamDigest returns what identifies the stream of a turn among those of its program. A caller
+// that takes up the stream sends the same request, with another ID.
+func (h *requestHandler) streamDigest() uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{h.request.Method, h.request.Host, h.request.Target, h.request.Session, h.request.PreviousTurn} {
+		_, _ = digest.WriteString(part + "\x00") // It never fails.
+	}
+	_, _ = digest.Write(h.request.Body)
+	return max(1, digest.Sum64())
+}
+
 func turnRefusal(err error) *Refusal {
 	var exhausted *turns.BudgetExhaustedError
 	var wrongWorkspace *turns.WrongWorkspaceError
--- a/hall/turns/active_turn.go
+++ b/hall/turns/active_turn.go
@@ -17,6 +17,12 @@
 	settleOnce sync.Once
 	resumed    *string // Version of the turn that this one takes up, nil if unknown.
 	others     reservationSet
+	relayed    []byte // Output that the caller has got before.
+	events     eventLog
+}
+
+func newActiveTurn(turn Turn, programKey string) *ActiveTurn {
+	return &ActiveTurn{turn: turn, programKey: programKey, placement: programKey, events: eventLog{expires: time.Now().Add(turn.EventRetention)}}
 }
 
 // History returns the inputs and outputs that the turn continues, the oldest
@@ -26,6 +32,11 @@
 // Placement returns the placement key, which all turns of one chain share.
 func (t *ActiveTurn) Placement() string { return t.placement }
 
+// Relayed returns the output of the stream up to the last event that the caller has: the data of
+// each event, followed by a line feed. It is empty if the turn takes up no stream, or one whose
+// events are not stored.
+func (t *ActiveTurn) Relayed() []byte { return t.relayed }
+
 // ResumedVersion returns the software version of the backend servers at which the stream
 // that the turn takes up began. It is not known if no keeper has a record of it, or if
 // the turn that began the stream is not named and the program's turns have several.
@@ -60,7 +71,7 @@
 		return nil
 	}
 	return &wire.Reservation{
-		Program: t.programKey, Turn: t.turn.ID, Tokens: tokens, Settled: settled, ServerVersion: t.turn.ServerVersion,
+		Program: t.programKey, Turn: t.turn.ID, Tokens: tokens, Settled: settled, ServerVersion: t.turn.ServerVersion, Stream: t.turn.Stream,
 		ExpiresUnixMilliseconds: t.reservationExpiry().UnixMilli(),
 	}
 }
--- a/hall/turns/caller.go
+++ b/hall/turns/caller.go
@@ -204,7 +204,7 @@
 // so that the calls to all keepers share them.
 func encodeFinish(request *wire.FinishTurnRequest, input, output []byte) (net.Buffers, error) {
 	turn := request.GetTurn()
-	encoded, err := proto.Marshal(&wire.FinishTurnRequest{Reservation: request.GetReservation(), Others: request.GetOthers()})
+	encoded, err := proto.Marshal(&wire.FinishTurnRequest{Reservation: request.GetReservation(), Others: request.GetOthers(), Event: request.GetEvent()})
 	if err != nil || turn == nil {
 		return net.Buffers{encoded}, err
 	}
--- a/hall/turns/reservations.go
+++ b/hall/turns/reservations.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"slices"
 	"time"
 
 	"limpethall.dev/kernel/wire"
@@ -41,6 +42,10 @@
 		if known.ServerVersion == nil {
 			known.ServerVersion = reservation.ServerVersion
 		}
+		if known.GetStream() == 0 {
+			known.Stream = reservation.GetStream()
+		}
+		known.Relayed = known.GetRelayed() || reservation.GetRelayed()
 	}
 }
 
@@ -54,7 +59,7 @@
 		if s.known[turn] < s.replies {
 			found = append(found, &wire.Reservation{
 				Program: program, Turn: turn, Tokens: reservation.GetTokens(), Settled: reservation.GetSettled(), ServerVersion: reservation.ServerVersion,
-				ExpiresUnixMilliseconds: expires.UnixMilli(),
+				Stream: reservation.GetStream(), ExpiresUnixMilliseconds: expires.UnixMilli(),
 			})
 		}
 	}
@@ -70,6 +75,18 @@
 	return max(sum, s.spent)
 }
 
+// attemptsOf returns the turns of a stream, in order of their IDs.
+func (s *reservationSet) attemptsOf(stream uint64) []string {
+	var turns []string
+	for turn, reservation := range s.byTurn {
+		if stream != 0 && reservation.GetStream() == stream {
+			turns = append(turns, turn)
+		}
+	}
+	slices.Sort(turns)
+	return turns
+}
+
 // onlyVersion returns the software version of the program's turns, and false if they
 // have several or none is known.
 func (s *reservationSet) onlyVersion() (version string, found bool) {
--- a/hall/turns/search.go
+++ b/hall/turns/search.go
@@ -15,24 +15,34 @@
 // searchWidth is how many more keepers are asked for a turn at a time.
 const searchWidth = 2
 
-// findHistory looks for the chain of the previous turn and puts it together from what
-// several keepers have, if none has all of it: each turn is on a quorum of the replicas,
-// but a keeper that was down for a moment lacks the turns of that time.
+// findHistory looks for the chain of the previous turn.
 func (c *Client) findHistory(ctx context.Context, active *ActiveTurn) error {
+	history, err := c.findChain(ctx, active, active.turn.Previous)
+	if err != nil {
+		return err
+	}
+	active.setHistory(ctx, history)
+	return nil
+}
+
+// findChain looks for a turn, or an event, and those that it continues. It puts the chain
+// together from what several keepers have, if none has all of it: each turn is on a quorum of
+// the replicas, but a keeper that was down for a moment lacks the turns of that time.
+func (c *Client) findChain(ctx context.Context, active *ActiveTurn, newest string) (*wire.FindTurnReply, error) {
 	groups := [][]replication.Keeper{c.sources(active.programKey), c.keepers.List().All()}
 	history := &wire.FindTurnReply{}
-	for turn := active.turn.Previous; turn != ""; {
+	for turn := newest; turn != ""; {
 		search := &turnSearch{client: c, queried: make(map[string]bool), request: &wire.FindTurnRequest{Turn: turn, Workspace: active.turn.Workspace}}
 		reply, err := search.run(ctx, groups)
 		var notFound *TurnNotFoundError
 		switch {
-		case errors.As(err, &notFound) && turn != active.turn.Previous:
+		case errors.As(err, &notFound) && turn != newest:
 			// A turn that continues it is stored, so this one was stored as well.
-			return search.unavailable(errIncomplete)
+			return nil, search.unavailable(errIncomplete)
 		case err != nil:
-			return err
+			return nil, err
 		case reply.GetVerdict() == wire.FindVerdict_FIND_VERDICT_FOREIGN:
-			return &WrongWorkspaceError{turn: active.turn.Previous}
+			return nil, &WrongWorkspaceError{turn: newest}
 		}
 		history.Parts = slices.Concat(reply.GetParts(), history.GetParts())
 		if history.Placement == "" {
@@ -41,8 +51,7 @@
 		turn = reply.GetMissing()
 	}
 	history.Verdict = wire.FindVerdict_FIND_VERDICT_FOUND
-	active.setHistory(ctx, history)
-	return nil
+	return history, nil
 }
 
 // turnSearch is the search of the keepers for one turn and those that it continues.
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -21,7 +21,9 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 	"unicode/utf8"
@@ -78,6 +80,14 @@
 	// Resumes is the ID of the turn that began the stream which this turn takes up. If it
 	// is empty, any turn of the program may have begun it.
 	Resumes string
+	// Stream identifies the turn's stream among those of the program: it is the same for all
+	// attempts that begin the stream or take it up. It is zero if the events of the stream
+	// are not stored.
+	Stream uint64
+	// LastEvent is the ID of the last event of the stream that the caller has, empty for none.
+	LastEvent string
+	// EventRetention is how long the events of the stream are kept.
+	EventRetention time.Duration
 }
 
 // encodable returns an ID that a caller chose in a form that messages to keepers can hold:
@@ -99,7 +109,7 @@
 // wantsReservations reports whether the turn needs to know the program's other
 // reservations.
 func (t Turn) wantsReservations() bool {
-	return t.Budget > 0 || (t.TakesUp && t.Resumes == "")
+	return t.Budget > 0 || t.Stream != 0 || (t.TakesUp && t.Resumes == "")
 }
 
 // BudgetExhaustedError reports that the program's budget does not cover the turn.
@@ -189,35 +199,47 @@
 	}
 }
 
-// Begin reserves the turn's tokens on a quorum and fetches its history. The error
-// is a *BudgetExhaustedError, *WrongWorkspaceError, *TurnNotFoundError or
-// *UnavailableError.
+// Begin reserves the turn's tokens on a quorum and fetches its history, and the events of the
+// stream that the caller has got before. The error is a *BudgetExhaustedError,
+// *WrongWorkspaceError, *TurnNotFoundError, *EventUnknownError or *UnavailableError.
 func (c *Client) Begin(ctx context.Context, turn Turn) (*ActiveTurn, error) {
 	if !c.QuorumReachable() {
 		return nil, &UnavailableError{operation: "begin the turn", needed: c.rule.Quorum(), cause: errUnreachable}
 	}
 	turn.ID, turn.Program = encodable(turn.ID), encodable(turn.Program)
 	turn.Previous, turn.Resumes = encodable(turn.Previous), encodable(turn.Resumes)
+	turn.LastEvent = encodable(strings.TrimSpace(turn.LastEvent))
 	programKey := turn.Workspace + "/" + turn.Program
 	if listed := len(c.replicas(programKey)); listed < c.rule.Quorum() {
 		return nil, &UnavailableError{operation: "begin the turn", needed: c.rule.Quorum(), cause: errTooFew}
 	}
-	active := &ActiveTurn{turn: turn, programKey: programKey, placement: programKey}
+	active := newActiveTurn(turn, programKey)
 	if turn.needsReservation() {
 		if err := c.reserve(ctx, active); err != nil {
 			return nil, err
 		}
 	}
-	if turn.Previous == "" || active.history != nil {
-		return active, nil
-	}
-	if err := c.findHistory(ctx, active); err != nil {
+	if err := c.findMissing(ctx, active); err != nil {
 		c.Settle(active, 0)
 		return nil, err
 	}
 	return active, nil
 }
 
+// findMissing finds what the replies to the reservation did not bring: the history, and the
+// events that the caller has got before.
+func (c *Client) findMissing(ctx context.Context, active *ActiveTurn) error {
+	if active.turn.Previous != "" && active.history == nil {
+		if err := c.findHistory(ctx, active); err != nil {
+			return err
+		}
+	}
+	if active.turn.Stream == 0 || active.turn.LastEvent == "" {
+		return nil
+	}
+	return c.findRelayed(ctx, active)
+}
+
 // Finish settles the reservation at the tokens that were produced and stores the
 // turn on a quorum.
 func (c *Client) Finish(ctx context.Context, active *ActiveTurn, tokens int64, input, output []byte) error {
@@ -239,7 +261,16 @@
 	if err != nil {
 		return fmt.Errorf("encode the turn: %w", err)
 	}
-	call := c.callReplicas(ctx, active.placement, func(ctx context.Context, _ replication.Keeper, caller *caller) (any, error) {
+	if err := c.store(ctx, "store the turn", active.placement, encoded); err != nil {
+		return err
+	}
+	active.settleOnce.Do(func() {})
+	return nil
+}
+
+// store sends an encoded request to Finish to a quorum of the replicas.
+func (c *Client) store(ctx context.Context, operation, placement string, encoded net.Buffers) error {
+	call := c.callReplicas(ctx, placement, func(ctx context.Context, _ replication.Keeper, caller *caller) (any, error) {
 		return nil, caller.finish(ctx, encoded)
 	})
 	stored, err := 0, errNoKeepers
@@ -251,11 +282,10 @@
 		stored++
 		if stored == c.rule.Quorum() {
 			call.stop()
-			active.settleOnce.Do(func() {})
 			return nil
 		}
 	}
-	return &UnavailableError{operation: "store the turn", answered: stored, needed: c.rule.Quorum(), cause: err}
+	return &UnavailableError{operation: operation, answered: stored, needed: c.rule.Quorum(), cause: err}
 }
 
 // Settle sets the reservation to the tokens that were produced. It works in the
@@ -317,7 +347,7 @@
 	request := &wire.BeginTurnRequest{
 		Reservation: active.reservation(turn.MaxTokens, false), Budget: turn.Budget,
 		Workspace: turn.Workspace, Previous: turn.Previous, WantHistory: turn.Previous != "",
-		Keepers: c.keepers.List().ToWire(false), Resumes: turn.Resumes, WantReservations: turn.wantsReservations(),
+		Keepers: c.keepers.List().ToWire(false), Resumes: turn.Resumes, WantReservations: turn.wantsReservations(), LastEvent: turn.LastEvent,
 	}
 	source := c.newHistorySource(active)
 	call := c.callReplicas(ctx, active.programKey, func(ctx context.Context, keeper replication.Keeper, caller *caller) (any, error) {
--- a/hall/turns/turns_test.go
+++ b/hall/turns/turns_test.go
@@ -35,8 +35,11 @@
 	err         error         // Error of Begin and Find, nil for none.
 	pause       time.Duration // Before Finish.
 	findPause   time.Duration // Before Find.
+	findErr     error         // Error of Find, nil for none.
 	histories   int           // Sent to halls.
 	finished    []*wire.FinishTurnRequest
+	stream      uint64 // Of the program's other turn.
+	relayed     bool   // Whether Begin says that the other turn relayed the event.
 }
 
 func (k *fakeKeeper) history() (*wire.FindTurnReply, error) {
@@ -54,7 +57,7 @@
 
 // Begin implements wire.Keeper.
 func (k *fakeKeeper) Begin(_ context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
-	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED, Reservations: []*wire.Reservation{{Turn: "t0", Tokens: 7}}}
+	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED, Reservations: []*wire.Reservation{{Turn: "t0", Tokens: 7, Stream: k.stream, Relayed: k.relayed}}}
 	if !request.GetWantHistory() {
 		return reply, nil
 	}
@@ -66,6 +69,9 @@
 // Find implements wire.Keeper.
 func (k *fakeKeeper) Find(context.Context, *wire.FindTurnRequest) (*wire.FindTurnReply, error) {
 	time.Sleep(k.findPause)
+	if k.findErr != nil {
+		return nil, k.findErr
+	}
 	return k.history()
 }
 
--- a/keeper/ledger/index.go
+++ b/keeper/ledger/index.go
@@ -66,6 +66,7 @@
 type reservationEntry struct {
 	tokens        int64
 	sharedVersion unique.Handle[string] // Software version of the turn's backend servers, zero if unknown.
+	stream        uint64                // Identifies the turn's stream among those of the program, zero if unknown.
 	expiresAt     int64                 // Of the record on disk, in Unix nanoseconds.
 	settled       bool
 }
@@ -79,10 +80,13 @@
 	return &version
 }
 
-// addVersion sets the software version if it is unknown.
-func (e *reservationEntry) addVersion(version *string) {
-	if version != nil && e.sharedVersion == (unique.Handle[string]{}) {
-		e.sharedVersion = unique.Make(*version)
+// addStream sets the software version and the stream of a reservation if they are unknown.
+func (e *reservationEntry) addStream(reservation *wire.Reservation) {
+	if reservation.ServerVersion != nil && e.sharedVersion == (unique.Handle[string]{}) {
+		e.sharedVersion = unique.Make(reservation.GetServerVersion())
+	}
+	if e.stream == 0 {
+		e.stream = reservation.GetStream()
 	}
 }
 
@@ -156,9 +160,10 @@
 
 func (i *index) used() int64 { return i.bytes + gapBytes*int64(len(i.gaps)) }
 
-// The parts of the index that new programs, and turns of running ones, leave to turns that have
-// run already: one of this many.
+// The parts of the index that events of streams, new programs, and turns of running ones leave to
+// turns that have run already: one of this many.
 const (
+	eventParts      = 2
 	newProgramParts = 4
 	newTurnParts    = 8
 )
--- a/keeper/ledger/index_test.go
+++ b/keeper/ledger/index_test.go
@@ -75,7 +75,8 @@
 }
 
 // TestFullIndexRefusesNewProgramsFirst guards against an index that grows without a bound, and
-// against programs under way that are refused before new ones.
+// against programs under way that are refused before new ones, or new ones before the events of
+// streams.
 func TestFullIndexRefusesNewProgramsFirst(t *testing.T) {
 	l := newReadyLedger(t)
 	l.SetIndexLimit(400_000)
@@ -88,14 +89,19 @@
 	finish := func(id string) error {
 		return l.Finish(time.Now(), &wire.FinishTurnRequest{Turn: newTurn(id, "", "w")})
 	}
+	finishEvent := func(id string) error {
+		return l.Finish(time.Now(), &wire.FinishTurnRequest{Turn: newTurn(id, "", "w"), Event: true})
+	}
 	if err := begin("w/running"); err != nil {
 		t.Fatalf("first program: %v", err)
 	}
-	wants := []struct{ new, running, finished bool }{{true, true, true}, {false, true, true}, {false, false, true}, {false, false, false}}
+	wants := []struct{ event, new, running, finished bool }{
+		{true, true, true, true}, {false, true, true, true}, {false, false, true, true}, {false, false, false, true}, {false, false, false, false},
+	}
 	stored := 0
 	for step, want := range wants {
 		for count := 0; step > 0 && count < 5000; count++ {
-			if l.IndexBytes() >= []int64{0, 300_000, 350_000, 400_000}[step] {
+			if l.IndexBytes() >= []int64{0, 200_000, 300_000, 350_000, 400_000}[step] {
 				break
 			}
 			if err := mergeTurns(t, l, stored, 1, 5); err != nil {
@@ -109,6 +115,7 @@
 			want bool
 		}{
 			{"running program", begin("w/running"), want.running},
+			{"event of a stream", finishEvent("event"), want.event},
 			{"finished turn", finish("turn"), want.finished},
 			{"new program", begin(fmt.Sprintf("w/new-%d", step)), want.new},
 		} {
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -24,6 +24,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"limpethall.dev/keeper/archive"
+	"limpethall.dev/kernel/callerid"
 	"limpethall.dev/kernel/wire"
 )
 
@@ -193,7 +194,11 @@
 		return err
 	}
 	if request.GetTurn() != nil {
-		if err := l.hasRoom(0); err != nil {
+		parts := int64(0)
+		if request.GetEvent() {
+			parts = eventParts
+		}
+		if err := l.hasRoom(parts); err != nil {
 			return err
 		}
 	}
@@ -209,7 +214,7 @@
 	if request.GetTurn() == nil {
 		return l.archive.StoreNoSync(records...)
 	}
-	return l.storeTurn(now, request.GetTurn(), records)
+	return l.storeTurn(now, request.GetTurn(), request.GetEvent(), records)
 }
 
 // Find is like History with the parts in memory.
@@ -248,7 +253,10 @@
 		}
 		spent += entry.tokens
 		if request.GetWantReservations() {
-			reply.Reservations = append(reply.Reservations, &wire.Reservation{Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version()})
+			reply.Reservations = append(reply.Reservations, &wire.Reservation{
+				Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version(), Stream: entry.stream,
+				Relayed: entry.stream != 0 && entry.stream == reservation.GetStream() && l.hasEvent(reservation.GetProgram(), turn, request.GetLastEvent()),
+			})
 		}
 	}
 	if request.GetBudget() > 0 && spent+reservation.GetTokens() > request.GetBudget() {
@@ -266,6 +274,13 @@
 	return spent, true, records
 }
 
+// hasEvent reports whether the event of a turn's stream is stored, readable or not. The caller
+// must hold the mutex.
+func (l *Ledger) hasEvent(program, turn, event string) bool {
+	_, found := l.turns[callerid.OfEvent(program, turn, event)]
+	return found
+}
+
 // putOrRepeatReservation is like putReservation, but returns the record also if the
 // reservation is known. The request that made it known may not have synced it yet.
 func (l *Ledger) putOrRepeatReservation(reservation *wire.Reservation) []archive.Record {
@@ -286,7 +301,7 @@
 	if !found {
 		entry.setExpires(time.UnixMilli(reservation.GetExpiresUnixMilliseconds()))
 	}
-	entry.addVersion(reservation.ServerVersion)
+	entry.addStream(reservation)
 	entry.tokens = reservation.GetTokens()
 	entry.settled = reservation.GetSettled()
 	l.setReservation(reservation.GetProgram(), reservation.GetTurn(), entry)
@@ -295,12 +310,15 @@
 
 // storeTurn extends the chain that a turn continues, and syncs the turn together with the
 // other records. The index names a record only once it can be read.
-func (l *Ledger) storeTurn(now time.Time, turn *wire.Turn, others []archive.Record) error {
+func (l *Ledger) storeTurn(now time.Time, turn *wire.Turn, isEvent bool, others []archive.Record) error {
 	expires := time.UnixMilli(turn.GetExpiresUnixMilliseconds())
 	if err := l.extendChain(now, turn.GetPrevious(), turn.GetPlacement(), expires); err != nil {
 		return err
 	}
-	record, err := l.turnRecord(turn, expires.Add(expires.Sub(now)*extraRetentionFactor))
+	if !isEvent {
+		expires = expires.Add(expires.Sub(now) * extraRetentionFactor) // All events of a stream expire at once.
+	}
+	record, err := l.turnRecord(turn, expires)
 	if err != nil {
 		return err
 	}
@@ -366,7 +384,7 @@
 	if !entry.settled {
 		entry.tokens, entry.settled = reservation.GetTokens(), reservation.GetSettled()
 	}
-	entry.addVersion(reservation.ServerVersion)
+	entry.addStream(reservation)
 	entry.setExpires(expires)
 	l.setReservation(reservation.GetProgram(), reservation.GetTurn(), entry)
 }
--- a/keeper/ledger/record.go
+++ b/keeper/ledger/record.go
@@ -128,7 +128,7 @@
 // newReservationRecord returns the message of a reservation.
 func newReservationRecord(program, turn string, entry reservationEntry) *wire.Reservation {
 	return &wire.Reservation{
-		Program: program, Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version(), ExpiresUnixMilliseconds: entry.expires().UnixMilli(),
+		Program: program, Turn: turn, Tokens: entry.tokens, Settled: entry.settled, ServerVersion: entry.version(), Stream: entry.stream, ExpiresUnixMilliseconds: entry.expires().UnixMilli(),
 	}
 }
 
