turns: a stream that is taken up has the version of its own attempts

What callers saw: a stream of a program whose turns ran at servers of two software versions is taken up without naming the attempt that began it, and refused with 503 each time ("the version that began the stream … is not known").

Cause: without the name, the version followed from all turns of the program, which have several.

--- a/hall/turns/active_turn.go
+++ b/hall/turns/active_turn.go
@@ -39,10 +39,10 @@
 
 // ResumedVersion returns the software version of the backend servers at which the stream
 // that the turn takes up began. It is not known if no keeper has a record of it, or if
-// the turn that began the stream is not named and the program's turns have several.
+// the turn that began the stream is not named and the turns that may have begun it have several.
 func (t *ActiveTurn) ResumedVersion() (version string, known bool) {
 	if t.turn.Resumes == "" {
-		return t.others.onlyVersion()
+		return t.others.onlyVersion(t.turn.Stream)
 	}
 	if t.resumed == nil {
 		return "", false
--- a/hall/turns/reservations.go
+++ b/hall/turns/reservations.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -87,10 +88,16 @@
 	return turns
 }
 
-// onlyVersion returns the software version of the program's turns, and false if they
-// have several or none is known.
-func (s *reservationSet) onlyVersion() (version string, found bool) {
-	for _, reservation := range s.byTurn {
+// onlyVersion returns the software version of the turns of a stream, or of all turns of the
+// program if none of them is known to be of the stream. It returns false if they have several
+// or none is known.
+func (s *reservationSet) onlyVersion(stream uint64) (version string, found bool) {
+	attempts := s.attemptsOf(stream)
+	if len(attempts) == 0 {
+		attempts = slices.Collect(maps.Keys(s.byTurn))
+	}
+	for _, turn := range attempts {
+		reservation := s.byTurn[turn]
 		switch {
 		case reservation.ServerVersion == nil:
 		case found && reservation.GetServerVersion() != version:
