gateway: a turn on a route that is not resumable starts with its first event

What callers saw: a turn with Last-Event-Id on a route that keeps the history and is not resumable got the events after that one, and the history lacked those before.

Cause: as for resumable routes, the output of one attempt was stored as that of the whole turn. Events are not stored there while they are relayed, as callers may not take up such streams.

The stream starts with its first event, and the caller and the history get all of it.

--- a/hall/gateway/events_test.go
+++ b/hall/gateway/events_test.go
@@ -105,3 +105,18 @@
 		}
 	})
 }
+
+// TestBackendStartsAnew guards against a turn that is stored without its first events because a
+// caller names one on a route on which streams can't be taken up.
+func TestBackendStartsAnew(t *testing.T) {
+	for path, want := range map[string]bool{"/kept/x": true, "/walk/x": false, "/resumable/x": false, "/safe/x": false} {
+		f := newFixture(streamOf(1))
+		f.send(path, func(request *gateway.Request) { request.LastEventID = "2" })
+		if len(f.backend.requests) == 0 {
+			continue // A stream whose version is not known is refused.
+		}
+		if got := f.backend.requests[0].FromStart; got != want {
+			t.Errorf("%s: got a stream from the start %t, want %t", path, got, want)
+		}
+	}
+}
--- a/hall/gateway/exchange.go
+++ b/hall/gateway/exchange.go
@@ -133,7 +133,7 @@
 	}
 	return BackendRequest{
 		Request: h.request, Workspace: h.workspaceName(), Body: h.body, Remaining: time.Until(h.deadline),
-		ResumeAfter: resumeAfter, MaxConnections: maxConnections,
+		ResumeAfter: resumeAfter, FromStart: h.startsAnew(), MaxConnections: maxConnections,
 	}
 }
 
--- a/hall/gateway/request.go
+++ b/hall/gateway/request.go
@@ -71,6 +71,9 @@
 	// ResumeAfter is the ID of the last event that the caller has, empty to start
 	// at the beginning.
 	ResumeAfter string
+	// FromStart is set if the stream is to start at the beginning, whatever event the caller
+	// names.
+	FromStart bool
 	// MaxConnections limits the connections to the server; zero means no limit.
 	MaxConnections int
 }
--- a/hall/gateway/turn.go
+++ b/hall/gateway/turn.go
@@ -87,6 +87,13 @@
 	return max(1, digest.Sum64())
 }
 
+// startsAnew reports whether the stream starts with its first event, whatever event the caller
+// names. The output of a turn would lack the events before if its stream started later, and they
+// are stored only on routes that allow callers to take up streams.
+func (h *requestHandler) startsAnew() bool {
+	return h.turn != nil && h.route.KeepsHistory && !h.route.Resumable
+}
+
 func turnRefusal(err error) *Refusal {
 	var exhausted *turns.BudgetExhaustedError
 	var wrongWorkspace *turns.WrongWorkspaceError
