turns: bound the attempts of a stream that are named

What callers saw: nothing yet. A caller that sends the same turn over and over made each first event of its stream, and each log line of a stream that is taken up, grow with the number of times.

Change: attempts that were settled without a token are left out, as they relayed nothing. If more than 32 are left, events are not stored and the stream can't be taken up.

Result: TestAttemptsOfStreamAreBounded.

--- a/hall/gateway/events.go
+++ b/hall/gateway/events.go
@@ -113,13 +113,14 @@
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
-	if _, err := h.writer.Write(batch.text.Bytes()); err != nil {
-		return &callerError{cause: err}
-	}
+	// The caller may get events although the write fails.
 	progress.events += batch.count
 	progress.lastEventID = batch.lastID
+	defer batch.text.Reset()
 	batch.count = 0
-	batch.text.Reset()
+	if _, err := h.writer.Write(batch.text.Bytes()); err != nil {
+		return &callerError{cause: err}
+	}
 	return nil
 }
 
--- a/hall/turns/active_turn.go
+++ b/hall/turns/active_turn.go
@@ -60,6 +60,16 @@
 	t.placement = reply.GetPlacement()
 }
 
+// earlierAttempts returns the turns of the same stream that may have relayed events, or a
+// *TooManyAttemptsError.
+func (t *ActiveTurn) earlierAttempts() ([]string, error) {
+	attempts := t.others.attemptsOf(t.turn.Stream)
+	if len(attempts) > maxAttempts {
+		return nil, &TooManyAttemptsError{count: len(attempts)}
+	}
+	return attempts, nil
+}
+
 // exceedsBudget reports whether the turn and the known reservations of the program
 // together exceed its budget.
 func (t *ActiveTurn) exceedsBudget() bool {
--- a/hall/turns/events.go
+++ b/hall/turns/events.go
@@ -23,6 +23,8 @@
 	segmentEvents = 64
 	// eventBytes is the memory of an event beside its data, while it is stored.
 	eventBytes = 512
+	// maxAttempts bounds the attempts of one stream that may have relayed events.
+	maxAttempts = 32
 	// noEvent is the ID that callers name as the last one of a stream whose events count from
 	// one, if they have got none.
 	noEvent = "0"
@@ -54,6 +56,15 @@
 	return fmt.Sprintf("no attempt of this stream that relayed event %q is known", e.event)
 }
 
+// TooManyAttemptsError reports that so many attempts of a stream may have relayed events that it
+// can't be taken up.
+type TooManyAttemptsError struct{ count int }
+
+// Error states the number of attempts.
+func (e *TooManyAttemptsError) Error() string {
+	return fmt.Sprintf("%d attempts of this stream are not settled, of at most %d", e.count, maxAttempts)
+}
+
 // eventLog names the events of a turn's stream that were stored, in order.
 type eventLog struct {
 	last    string
@@ -68,7 +79,11 @@
 		Workspace: active.turn.Workspace, Previous: l.last, Placement: active.programKey, ExpiresUnixMilliseconds: l.expires.UnixMilli(),
 	}
 	if l.count%segmentEvents == 0 {
-		segment, err := proto.Marshal(&wire.EventSegment{Continues: l.last, Replaces: active.others.attemptsOf(active.turn.Stream)})
+		earlier, err := active.earlierAttempts()
+		if err != nil {
+			return nil, err
+		}
+		segment, err := proto.Marshal(&wire.EventSegment{Continues: l.last, Replaces: earlier})
 		if err != nil {
 			return nil, fmt.Errorf("encode the segment: %w", err)
 		}
@@ -82,7 +97,7 @@
 // StoreEvents stores events of the turn's stream on a quorum. If it is called before they are
 // relayed, another hall can continue the stream with all of its output, whatever happens to
 // this one. After an error, the same events are to be stored again before later ones. The error
-// is an *UnavailableError.
+// is an *UnavailableError or a *TooManyAttemptsError.
 func (c *Client) StoreEvents(ctx context.Context, active *ActiveTurn, events []Event) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -132,7 +147,10 @@
 // attempts have relayed it. Only an event that was stored by an earlier list of keepers may be
 // missing there. It is looked for at all keepers.
 func (c *Client) findRelayed(ctx context.Context, active *ActiveTurn) error {
-	attempts := active.others.attemptsOf(active.turn.Stream)
+	attempts, err := active.earlierAttempts()
+	if err != nil {
+		return err
+	}
 	relayed := slices.DeleteFunc(slices.Clone(attempts), func(turn string) bool { return !active.others.byTurn[turn].GetRelayed() })
 	if len(relayed) == 0 && active.turn.LastEvent != noEvent {
 		relayed = attempts
@@ -146,7 +164,7 @@
 	}
 	active.relayed = newest.output
 	c.logger.Info("stream taken up", zap.String("requestId", active.turn.ID), zap.String("from", newest.turn), zap.String("lastEvent", active.turn.LastEvent),
-		zap.Int("bytes", len(newest.output)), zap.Strings("attempts", attempts))
+		zap.Int("bytes", len(newest.output)), zap.Int("attempts", len(attempts)))
 	return nil
 }
 
--- a/hall/turns/events_test.go
+++ b/hall/turns/events_test.go
@@ -71,6 +71,36 @@
 	}
 }
 
+// TestAttemptsOfStreamAreBounded guards against records and log lines that grow with the number of
+// times that a caller sends a request.
+func TestAttemptsOfStreamAreBounded(t *testing.T) {
+	const stream = 7
+	for count, want := range map[int]bool{30: true, 40: false} {
+		f := newFixture(t, 8<<20)
+		for _, keeper := range f.keepers {
+			keeper.stream, keeper.attempts = stream, count
+		}
+		account := f.budget.Open(buffer.PriorityStarted)
+		ctx := buffer.NewContext(t.Context(), account)
+		turn := turns.Turn{ID: "t1", Program: "p", Budget: 1000, MaxTokens: 10, Stream: stream, EventRetention: time.Minute}
+		active, err := f.client.Begin(ctx, turn)
+		if err != nil {
+			t.Fatalf("%d attempts: begin: %v", count, err)
+		}
+		var tooMany *turns.TooManyAttemptsError
+		err = f.client.StoreEvents(ctx, active, []turns.Event{turns.NewEvent("1", nil)})
+		if got := err == nil; got != want || (!got && !errors.As(err, &tooMany)) {
+			t.Errorf("%d attempts: store an event: got error %v, want it stored: %t", count, err, want)
+		}
+		turn.ID, turn.LastEvent = "t2", "9"
+		_, err = f.client.Begin(ctx, turn)
+		if got := errors.As(err, &tooMany); got == want {
+			t.Errorf("%d attempts: take up the stream: got error %v, want one for their number: %t", count, err, !want)
+		}
+		account.Release()
+	}
+}
+
 // TestEventsAreStoredAsChains guards against events that are not on a quorum when StoreEvents
 // returns, against chains that are too long for keepers to follow, and against events whose order
 // changes if they are stored again.
--- a/hall/turns/reservations.go
+++ b/hall/turns/reservations.go
@@ -76,11 +76,12 @@
 	return max(sum, s.spent)
 }
 
-// attemptsOf returns the turns of a stream, in order of their IDs.
+// attemptsOf returns the turns of a stream that may have relayed events, in order of their IDs.
 func (s *reservationSet) attemptsOf(stream uint64) []string {
 	var turns []string
 	for turn, reservation := range s.byTurn {
-		if stream != 0 && reservation.GetStream() == stream {
+		relayedNothing := reservation.GetSettled() && reservation.GetTokens() == 0
+		if stream != 0 && reservation.GetStream() == stream && !relayedNothing {
 			turns = append(turns, turn)
 		}
 	}
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -201,7 +201,8 @@
 
 // Begin reserves the turn's tokens on a quorum and fetches its history, and the events of the
 // stream that the caller has got before. The error is a *BudgetExhaustedError,
-// *WrongWorkspaceError, *TurnNotFoundError, *EventUnknownError or *UnavailableError.
+// *WrongWorkspaceError, *TurnNotFoundError, *EventUnknownError,
+// *TooManyAttemptsError or *UnavailableError.
 func (c *Client) Begin(ctx context.Context, turn Turn) (*ActiveTurn, error) {
 	if !c.QuorumReachable() {
 		return nil, &UnavailableError{operation: "begin the turn", needed: c.rule.Quorum(), cause: errUnreachable}
--- a/hall/turns/turns_test.go
+++ b/hall/turns/turns_test.go
@@ -40,6 +40,7 @@
 	finished    []*wire.FinishTurnRequest
 	stream      uint64 // Of the program's other turn.
 	relayed     bool   // Whether Begin says that the other turn relayed the event.
+	attempts    int    // Further turns of the stream.
 }
 
 func (k *fakeKeeper) history() (*wire.FindTurnReply, error) {
@@ -58,6 +59,9 @@
 // Begin implements wire.Keeper.
 func (k *fakeKeeper) Begin(_ context.Context, request *wire.BeginTurnRequest) (*wire.BeginTurnReply, error) {
 	reply := &wire.BeginTurnReply{Verdict: wire.BeginVerdict_BEGIN_VERDICT_ADMITTED, Reservations: []*wire.Reservation{{Turn: "t0", Tokens: 7, Stream: k.stream, Relayed: k.relayed}}}
+	for number := range k.attempts {
+		reply.Reservations = append(reply.Reservations, &wire.Reservation{Turn: fmt.Sprint("attempt ", number), Tokens: 1, Stream: k.stream})
+	}
 	if !request.GetWantHistory() {
 		return reply, nil
 	}
