--- a/hall/gateway/events_test.go
+++ b/hall/gateway/events_test.go
@@ -34,12 +34,16 @@
 	}{
 		{"whole stream", "/walk/x", []cannedResponse{streamOf(1, 2, 3)}, []string{"1>1\n", "2>2\n", "3>3\n"}, "54 in>1\n2\n3\n"},
 		{
-			"continued at another server", "/walk/x", []cannedResponse{{status: 200, stream: true, body: "id: 1\ndata: 1\n\nid: 2\nda", truncated: true}, streamOf(2, 3)},
-			[]string{"1>1\n", "2>2\n", "3>3\n"}, "54 in>1\n2\n3\n",
+			"continued at another server", "/walk/x",
+			[]cannedResponse{{status: 200, stream: true, body: "id: 1\ndata: 1\n\nid: 2\nda", truncated: true}, streamOf(2, 3)},
+			[]string{"1>1\n", "2>2\n", "3>3\n"},
+			"54 in>1\n2\n3\n",
 		},
 		{
-			"events without an ID", "/walk/x", []cannedResponse{{status: 200, stream: true, body: "data: a\n\n: comment\n\nid: 1\ndata: b\ndata: c\n\ndata: d\n\nid: 1\ndata: e\n\nid: 2\n\ndata: f\n\n"}},
-			[]string{"1>a\nb\nc\n", "2>d\ne\n"}, "90 in>a\nb\nc\nd\ne\nf\n",
+			"events without an ID", "/walk/x",
+			[]cannedResponse{{status: 200, stream: true, body: "data: a\n\n: comment\n\nid: 1\ndata: b\ndata: c\n\ndata: d\n\nid: 1\ndata: e\n\nid: 2\n\ndata: f\n\n"}},
+			[]string{"1>a\nb\nc\n", "2>d\ne\n"},
+			"90 in>a\nb\nc\nd\ne\nf\n",
 		},
 		{"route that is not resumable", "/kept/x", []cannedResponse{streamOf(1, 2)}, nil, "36 in>1\n2\n"},
 		{"route without history", "/resumable/x", []cannedResponse{streamOf(1, 2)}, nil, "settled 36"},
--- a/hall/turns/turns.go
+++ b/hall/turns/turns.go
@@ -1,6 +1,7 @@
 // Package turns is a hall's client of the keepers: it reserves a turn's tokens in
 // the budget of its program, fetches the history that the turn continues, and
-// stores the turn once its response is complete.
+// stores the turn once its response is complete. If the turn's stream may be taken up by
+// another attempt, its events are stored before they are relayed.
 //
 // A reservation or a turn is written to a quorum of the replicas, which are the
 // keepers selected by its placement key. If a keeper fails or is slow, the next
@@ -13,6 +14,7 @@
 //	mux.HandleFunc(turns.ForwardPathPrefix(), client.Forward)
 //	group.Go("keepers that failed", client.Probe)
 //	active, err := client.Begin(ctx, turns.Turn{Program: "3fa8", ID: "e5b2", …})
+//	err = client.StoreEvents(ctx, active, events)
 //	err = client.Finish(ctx, active, tokens, input, output)
 package turns
 
--- a/keeper/ledger/event_test.go
+++ b/keeper/ledger/event_test.go
@@ -47,20 +47,7 @@
 	if err := l.Finish(time.Now(), &wire.FinishTurnRequest{Reservation: newReservation("first", 5, true)}); err != nil {
 		t.Fatalf("settle: %v", err)
 	}
-	page, err := l.Page(nil, func(string) bool { return true })
-	if err != nil {
-		t.Fatalf("page: %v", err)
-	}
-	copied := newReadyLedger(t)
-	if err := copied.Merge(time.Now(), page); err != nil {
-		t.Fatalf("merge: %v", err)
-	}
-	if err := disk.Close(); err != nil {
-		t.Fatal(err)
-	}
-	reopened, disk := openLedger(t, dir)
-	defer func() { _ = disk.Close() }()
-	for name, l := range map[string]*ledger.Ledger{"restarted keeper": reopened, "keeper with the copy": copied} {
+	for name, l := range restartAndCopy(t, dir, l, disk) {
 		for lastEvent, want := range map[string]map[string]bool{
 			"":  {"first": false, "second": false, "other": false},
 			"1": {"first": true, "second": true, "other": false},
--- a/keeper/ledger/ledger.go
+++ b/keeper/ledger/ledger.go
@@ -1,5 +1,6 @@
 // Package ledger holds the records of one keeper: the turns of programs that keep
-// their history, and the token reservations of programs that have a budget.
+// their history, and the token reservations of programs that have a budget. The events of
+// a stream that another attempt may take up are stored as a chain of turns.
 //
 // Turns are immutable, so replicas can't disagree about them. A reservation is
 // either open, counted at the most tokens that its turn may produce, or settled,
--- a/keeper/ledger/ledger_test.go
+++ b/keeper/ledger/ledger_test.go
@@ -39,6 +39,26 @@
 	return l
 }
 
+// restartAndCopy returns a ledger that holds a copy of all records, and one that was opened again,
+// by their names. It closes the given one.
+func restartAndCopy(t *testing.T, dir string, l *ledger.Ledger, disk *archive.Archive) map[string]*ledger.Ledger {
+	t.Helper()
+	page, err := l.Page(nil, func(string) bool { return true })
+	if err != nil {
+		t.Fatalf("page: %v", err)
+	}
+	copied := newReadyLedger(t)
+	if err := copied.Merge(time.Now(), page); err != nil {
+		t.Fatalf("merge: %v", err)
+	}
+	if err := disk.Close(); err != nil {
+		t.Fatal(err)
+	}
+	reopened, disk := openLedger(t, dir)
+	t.Cleanup(func() { _ = disk.Close() })
+	return map[string]*ledger.Ledger{"restarted keeper": reopened, "keeper with the copy": copied}
+}
+
 func newReservation(turn string, tokens int64, settled bool) *wire.Reservation {
 	return &wire.Reservation{Program: "w/p", Turn: turn, Tokens: tokens, Settled: settled, ExpiresUnixMilliseconds: time.Now().Add(2 * retention).UnixMilli()}
 }
@@ -307,20 +327,7 @@
 	if err := l.Finish(time.Now(), &wire.FinishTurnRequest{Reservation: newReservation("first", 5, true)}); err != nil {
 		t.Fatalf("settle: %v", err)
 	}
-	page, err := l.Page(nil, func(string) bool { return true })
-	if err != nil {
-		t.Fatalf("page: %v", err)
-	}
-	copied := newReadyLedger(t)
-	if err := copied.Merge(time.Now(), page); err != nil {
-		t.Fatalf("merge: %v", err)
-	}
-	if err := disk.Close(); err != nil {
-		t.Fatal(err)
-	}
-	reopened, disk := openLedger(t, dir)
-	defer func() { _ = disk.Close() }()
-	for name, l := range map[string]*ledger.Ledger{"restarted keeper": reopened, "keeper with the copy": copied} {
+	for name, l := range restartAndCopy(t, dir, l, disk) {
 		for turn, want := range map[string]string{"first": "v1", "second": "", "third": "unknown"} {
 			if got := resumedVersion(l, turn); got != want {
 				t.Errorf("%s: version of %s: got %q, want %q", name, turn, got, want)
