turns: events wait for keepers that are gone for a moment

What callers saw, in a trial of the soak with a disturbance each 250 ms, more than the settings tolerate: a stream whose last events were relayed while keepers restarted broke off at its end, as its turn could not be stored. It was refused for 8 s when it was taken up after these events, which no keeper had.

Cause: the first failure to store events let the stream go on without.

Change: events wait for 1.5 s while keepers don't answer, less than the pause after which callers give up a stream. A keeper's own refusal, as for memory, is not waited for. After a failure events are stored again after 3 s in place of one, as each try may hold up the stream.

--- a/hall/gateway/events.go
+++ b/hall/gateway/events.go
@@ -20,7 +20,7 @@
 	maxUnstoredEvents = 64
 	// storeRetryInterval is the time after which events are stored again that could not be
 	// stored. Events are relayed without delay until then.
-	storeRetryInterval = time.Second
+	storeRetryInterval = 3 * time.Second
 )
 
 // eventBatch holds events of a stream until they are stored and relayed together. A caller
--- a/hall/turns/events.go
+++ b/hall/turns/events.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -23,6 +24,8 @@
 	segmentEvents = 64
 	// eventBytes is the memory of an event beside its data, while it is stored.
 	eventBytes = 512
+	// storeEventsTimeout bounds storing events. Callers give up a stream after a pause of 2 s.
+	storeEventsTimeout = 1500 * time.Millisecond
 	// maxAttempts bounds the attempts of one stream that may have relayed events.
 	maxAttempts = 32
 	// noEvent is the ID that callers name as the last one of a stream whose events count from
@@ -96,12 +99,12 @@
 
 // StoreEvents stores events of the turn's stream on a quorum. If it is called before they are
 // relayed, another hall can continue the stream with all of its output, whatever happens to
-// this one. After an error, the same events are to be stored again before later ones. The error
-// is an *UnavailableError or a *TooManyAttemptsError.
+// this one. While keepers don't answer, it tries again until storeEventsTimeout. After an error,
+// the same events are to be stored again before later ones. The error is an *UnavailableError or a
+// *TooManyAttemptsError.
 func (c *Client) StoreEvents(ctx context.Context, active *ActiveTurn, events []Event) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	results, log := make(chan error, len(events)), active.events
+	log := active.events
+	requests := make([]net.Buffers, 0, len(events))
 	for _, event := range events {
 		record, err := log.append(active, event)
 		if err != nil {
@@ -113,24 +116,38 @@
 		if err != nil {
 			return fmt.Errorf("encode the event: %w", err)
 		}
-		account := buffer.FromContext(ctx)
+		requests = append(requests, encoded)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeEventsTimeout)
+	defer cancel()
+	err := c.storeAll(ctx, active.programKey, requests)
+	for err != nil && !answered(err) && ctx.Err() == nil {
+		task.Sleep(ctx, probeInterval)
+		err = c.storeAll(ctx, active.programKey, requests)
+	}
+	if err != nil {
+		return err
+	}
+	active.events = log
+	return nil
+}
+
+// storeAll stores encoded events at the same time.
+func (c *Client) storeAll(ctx context.Context, placement string, requests []net.Buffers) error {
+	account := buffer.FromContext(ctx)
+	results := make(chan error, len(requests))
+	for _, encoded := range requests {
 		account.Hold()
 		go func() {
 			defer account.Release()
-			results <- task.Guard(c.logger, "store an event", func() error {
-				return c.store(ctx, "store an event", active.programKey, encoded)
-			})
+			results <- task.Guard(c.logger, "store an event", func() error { return c.store(ctx, "store an event", placement, encoded) })
 		}()
 	}
 	var errs []error
-	for range events {
+	for range requests {
 		errs = append(errs, <-results)
 	}
-	if err := errors.Join(errs...); err != nil {
-		return err
-	}
-	active.events = log
-	return nil
+	return errors.Join(errs...)
 }
 
 // relayedStream is what an attempt relayed of a stream, up to the last event that the caller has.
--- a/hall/turns/events_test.go
+++ b/hall/turns/events_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
 	"limpethall.dev/hall/turns"
@@ -101,6 +102,51 @@
 	}
 }
 
+// TestEventsWaitForKeepers guards against events that are relayed without being stored because
+// keepers are gone for a moment, and against streams that wait for keepers which have no memory for
+// their events, or for longer than their callers do.
+func TestEventsWaitForKeepers(t *testing.T) {
+	const callersPatience = 2 * time.Second
+	noMemory := twirp.NewError(twirp.Unavailable, "no memory")
+	for _, test := range []struct {
+		name       string
+		pause      time.Duration
+		finishErr  error
+		healsAfter time.Duration // Zero for never.
+		want       bool          // Whether the event is stored.
+		within     time.Duration
+	}{
+		{name: "silent for a moment", pause: 3 * time.Second, healsAfter: 300 * time.Millisecond, want: true, within: callersPatience},
+		{name: "silent", pause: 3 * time.Second, within: callersPatience},
+		{name: "no memory", finishErr: noMemory, within: 500 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 8<<20)
+			account := f.budget.Open(buffer.PriorityStarted)
+			defer account.Release()
+			ctx := buffer.NewContext(t.Context(), account)
+			active, err := f.client.Begin(ctx, turns.Turn{ID: "t1", Program: "p", Budget: 100, MaxTokens: 10, Stream: 7, EventRetention: time.Minute})
+			if err != nil {
+				t.Fatalf("begin: %v", err)
+			}
+			for _, keeper := range f.keepers {
+				keeper.setFinish(test.pause, test.finishErr)
+				if test.healsAfter > 0 {
+					time.AfterFunc(test.healsAfter, func() { keeper.setFinish(0, nil) })
+				}
+			}
+			start := time.Now()
+			err = f.client.StoreEvents(ctx, active, []turns.Event{turns.NewEvent("1", nil)})
+			if got := err == nil; got != test.want {
+				t.Errorf("store an event: got error %v, want it stored: %t", err, test.want)
+			}
+			if got := time.Since(start); got > test.within {
+				t.Errorf("time to store an event: got %s, want at most %s", got, test.within)
+			}
+		})
+	}
+}
+
 // TestEventsAreStoredAsChains guards against events that are not on a quorum when StoreEvents
 // returns, against chains that are too long for keepers to follow, and against events whose order
 // changes if they are stored again.
