--- a/hall/gateway/events.go
+++ b/hall/gateway/events.go
@@ -23,9 +23,9 @@
 	storeRetryInterval = 3 * time.Second
 )
 
-// eventBatch holds events of a stream until they are stored and relayed together. A caller
-// must not get an event that is not stored: if this hall fails, it takes up the stream after
-// that event at another hall, which adds the events before to the output of the turn.
+// eventBatch holds events of a stream until they are stored and relayed together. They are stored
+// first because this hall may fail at any time: the caller then takes up the stream at another
+// hall, which needs all events that the caller has for the output of the turn.
 type eventBatch struct {
 	account *buffer.Account
 	text    *buffer.Output // Events as they are relayed.
@@ -124,6 +124,7 @@
 	return nil
 }
 
+// storeEvents stores the events of the batch, unless that failed a moment ago.
 func (h *requestHandler) storeEvents(ctx context.Context) {
 	batch, start := h.events, time.Now()
 	if len(batch.events) == 0 || start.Sub(batch.failed) < storeRetryInterval {
