--- a/hall/gateway/events_test.go
+++ b/hall/gateway/events_test.go
@@ -32,15 +32,15 @@
 		wantEvents []string
 		wantCall   string
 	}{
-		{"whole stream", "/walk/x", []cannedResponse{streamOf(1, 2, 3)}, []string{"1>1\n", "2>2\n", "3>3\n"}, "54 in>1\n2\n3\n"},
+		{"whole stream", "/recorded/x", []cannedResponse{streamOf(1, 2, 3)}, []string{"1>1\n", "2>2\n", "3>3\n"}, "54 in>1\n2\n3\n"},
 		{
-			"continued at another server", "/walk/x",
+			"continued at another server", "/recorded/x",
 			[]cannedResponse{{status: 200, stream: true, body: "id: 1\ndata: 1\n\nid: 2\nda", truncated: true}, streamOf(2, 3)},
 			[]string{"1>1\n", "2>2\n", "3>3\n"},
 			"54 in>1\n2\n3\n",
 		},
 		{
-			"events without an ID", "/walk/x",
+			"events without an ID", "/recorded/x",
 			[]cannedResponse{{status: 200, stream: true, body: "data: a\n\n: comment\n\nid: 1\ndata: b\ndata: c\n\ndata: d\n\nid: 1\ndata: e\n\nid: 2\n\ndata: f\n\n"}},
 			[]string{"1>a\nb\nc\n", "2>d\ne\n"},
 			"90 in>a\nb\nc\nd\ne\nf\n",
@@ -79,7 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(streamOf(1, 2, 3, 4), streamOf(5, 6))
 		f.turns.eventsErr = errors.New("too few keepers")
-		recorder, aborted := f.send("/walk/x", nil)
+		recorder, aborted := f.send("/recorded/x", nil)
 		if got, want := recorder.Body.String(), streamOf(1, 2, 3, 4).body; got != want || aborted {
 			t.Errorf("stream: got %q, aborted %t, want %q", got, aborted, want)
 		}
@@ -102,7 +102,7 @@
 			}
 			f.turns.eventsErr = nil
 		}
-		f.send("/walk/x", nil)
+		f.send("/recorded/x", nil)
 		// The second and third event come while a failure is recent, and are stored with later ones.
 		if got, want := f.turns.events, []string{"1>1\n", "1>1\n", "2>2\n", "3>3\n", "4>4\n", "5>5\n"}; !slices.Equal(got, want) {
 			t.Errorf("stored events: got %q, want %q", got, want)
@@ -113,7 +113,7 @@
 // TestBackendStartsAnew guards against a turn that is stored without its first events because a
 // caller names one on a route on which streams can't be taken up.
 func TestBackendStartsAnew(t *testing.T) {
-	for path, want := range map[string]bool{"/kept/x": true, "/walk/x": false, "/resumable/x": false, "/safe/x": false} {
+	for path, want := range map[string]bool{"/kept/x": true, "/recorded/x": false, "/resumable/x": false, "/safe/x": false} {
 		f := newFixture(streamOf(1))
 		f.send(path, func(request *gateway.Request) { request.LastEventID = "2" })
 		if len(f.backend.requests) == 0 {
--- a/hall/gateway/gateway_test.go
+++ b/hall/gateway/gateway_test.go
@@ -247,7 +247,7 @@
 		{Name: "once", Hostname: "desk.example", Prefix: "/once/", Kind: catalog.KindAtMostOnce, Attempts: 2},
 		{Name: "resumable", Hostname: "desk.example", Prefix: "/resumable/", Kind: catalog.KindStream, Attempts: 2, Resumable: true},
 		{Name: "kept", Hostname: "desk.example", Prefix: "/kept/", Kind: catalog.KindStream, Attempts: 2, KeepsHistory: true, Retention: time.Minute},
-		{Name: "walk", Hostname: "desk.example", Prefix: "/walk/", Kind: catalog.KindStream, Attempts: 2, Resumable: true, KeepsHistory: true, Retention: time.Minute, Timeout: 20 * time.Second},
+		{Name: "recorded", Hostname: "desk.example", Prefix: "/recorded/", Kind: catalog.KindStream, Attempts: 2, Resumable: true, KeepsHistory: true, Retention: time.Minute, Timeout: 20 * time.Second},
 	}
 	for index := range routes {
 		routes[index].Splits = []catalog.Split{{Service: "models", Weight: 1}}
--- a/hall/turns/events_test.go
+++ b/hall/turns/events_test.go
@@ -106,7 +106,7 @@
 // keepers are gone for a moment, and against streams that wait for keepers which have no memory for
 // their events, or for longer than their callers do.
 func TestEventsWaitForKeepers(t *testing.T) {
-	const callersPatience = 2 * time.Second
+	const callerGapLimit = 2 * time.Second
 	noMemory := twirp.NewError(twirp.Unavailable, "no memory")
 	for _, test := range []struct {
 		name       string
@@ -116,8 +116,8 @@
 		want       bool          // Whether the event is stored.
 		within     time.Duration
 	}{
-		{name: "silent for a moment", pause: 3 * time.Second, healsAfter: 300 * time.Millisecond, want: true, within: callersPatience},
-		{name: "silent", pause: 3 * time.Second, within: callersPatience},
+		{name: "silent for a moment", pause: 3 * time.Second, healsAfter: 300 * time.Millisecond, want: true, within: callerGapLimit},
+		{name: "silent", pause: 3 * time.Second, within: callerGapLimit},
 		{name: "no memory", finishErr: noMemory, within: 500 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
